--- /dev/null
+++ b/src/app/node.cpp
@@ -0,0 +1,124 @@
+#include "app/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace limemast::app {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr auto kTick = 1s;
+constexpr auto kPlaceEvery = 100ms;
+constexpr auto kEndedKept = 600s;
+const std::string kSubmissions = "/submissions";
+const std::string kAbort = "/abort";
+}  // namespace
+
+Node::Node(net::Runtime& runtime, const wire::Settings& settings, std::function<void()> lost)
+    : runtime_(runtime),
+      settings_(settings),
+      lost_(std::move(lost)),
+      client_(runtime, settings),
+      mirror_(runtime, client_, cluster::keys::kWatched),
+      membership_(runtime, settings, client_, mirror_),
+      router_(runtime, membership_),
+      index_(membership_),
+      registry_(index_),
+      host_(runtime, settings, client_, mirror_, membership_, router_, index_, registry_,
+            [this](const std::string& machine) { book_.on_view(machine); }),
+      book_(runtime, settings, client_, membership_, router_, index_, registry_),
+      placer_(runtime, settings, membership_, router_, index_, registry_, book_),
+      desk_(runtime, settings, client_, membership_, router_, index_, registry_, book_),
+      fleet_(runtime, settings, client_, mirror_, membership_, index_, registry_, book_) {}
+
+void Node::start() {
+  membership_.start({[this] { on_generation(); }, lost_});
+  mirror_.start([this](const std::vector<store::Change>& changes) { on_changes(changes); });
+  fleet_.start();
+  tick();
+  place();
+  send_map();
+}
+
+void Node::on_changes(const std::vector<store::Change>& changes) {
+  bool jobs_changed = false;
+  for (const auto& c : changes) {
+    std::string name;
+    if (cluster::keys::under(c.key, cluster::keys::kOpenJobs, name)) {
+      jobs_changed = true;
+      if (c.removed) {
+        index_.end(name, runtime_.now());
+        host_.on_job_ended(name);
+      } else {
+        index_.put(name, *mirror_.find(c.key));
+      }
+    } else if (cluster::keys::under(c.key, cluster::keys::kMachines, name)) {
+      if (c.removed) {
+        host_.on_machine_removed(name);
+        book_.on_machine_removed(name);
+        registry_.remove(name);
+      } else {
+        registry_.set_registered(name);
+      }
+    } else if (c.key == cluster::keys::kCatalog && !c.removed) {
+      fleet_.load_types(mirror_.find(c.key)->value);
+    }
+  }
+  membership_.on_changes(changes);
+  if (jobs_changed) {
+    book_.sync();
+    placer_.run();
+  }
+}
+
+void Node::on_generation() {
+  host_.on_generation();
+  book_.on_generation();
+  fleet_.on_generation();
+}
+
+void Node::tick() {
+  book_.tick();
+  index_.prune(runtime_.now() - kEndedKept);
+  runtime_.after(kTick, [this] { tick(); });
+}
+
+void Node::place() {
+  placer_.run();
+  runtime_.after(kPlaceEvery, [this] { place(); });
+}
+
+void Node::send_map() {
+  placer_.send_map();
+  runtime_.after(net::to_duration(settings_.tuning.map_interval), [this] { send_map(); });
+}
+
+void Node::serve(const net::HttpRequest& request, net::Responder respond) {
+  const auto& path = request.path;
+  auto not_allowed = [&](const char* allow) { respond({405, R"({"error":"method"})", 0, allow}); };
+  if (path == "/hello") {
+    if (request.method != "POST") return not_allowed("POST");
+    const auto report = wire::parse_report(json::parse(request.body, nullptr, false));
+    if (!report) return respond({400, R"({"error":"malformed report"})", 0, {}});
+    return host_.hello(*report, std::move(respond));
+  }
+  if (path == "/ready") {
+    if (request.method != "GET") return not_allowed("GET");
+    const bool ready = membership_.entitled() && !registry_.types().empty();
+    return respond({ready ? 200 : 503, ready ? "{}" : R"({"error":"not ready"})", 0, {}});
+  }
+  if (path == kSubmissions) {
+    if (request.method != "POST") return not_allowed("POST");
+    return desk_.submit(request.body, std::move(respond));
+  }
+  if (path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
+    auto rest = path.substr(kSubmissions.size() + 1);
+    if (rest.size() > kAbort.size() && rest.compare(rest.size() - kAbort.size(), kAbort.size(), kAbort) == 0) {
+      if (request.method != "POST") return not_allowed("POST");
+      return desk_.abort(rest.substr(0, rest.size() - kAbort.size()), std::move(respond));
+    }
+    if (request.method != "GET") return not_allowed("GET");
+    return desk_.query(rest, std::move(respond));
+  }
+  respond({404, R"({"error":"unknown path"})", 0, {}});
+}
+}  // namespace limemast::app
--- /dev/null
+++ b/src/app/node.hpp
@@ -0,0 +1,40 @@
+#pragma once
+#include "cloud/fleet.hpp"
+#include "jobs/frontdesk.hpp"
+#include "machines/host.hpp"
+
+namespace limemast::app {
+/// One run of a controller: all actors, wired. It is thrown away and made anew when its grant has ended.
+class Node {
+ public:
+  /// `lost` is called when the grant has ended; the node must then not be used any more.
+  Node(net::Runtime& runtime, const wire::Settings& settings, std::function<void()> lost);
+  void start();
+  void serve(const net::HttpRequest& request, net::Responder respond);
+  void from_peer(const wire::json& message) { router_.receive(message); }
+  const cluster::Membership& membership() const { return membership_; }
+  const jobs::Book& book() const { return book_; }
+
+ private:
+  void on_changes(const std::vector<store::Change>& changes);
+  void on_generation();
+  void tick();
+  void place();
+  void send_map();
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  std::function<void()> lost_;
+  store::Client client_;
+  store::Mirror mirror_;
+  cluster::Membership membership_;
+  cluster::Router router_;
+  cluster::JobIndex index_;
+  machines::Registry registry_;
+  machines::Host host_;
+  jobs::Book book_;
+  jobs::Placer placer_;
+  jobs::FrontDesk desk_;
+  cloud::Fleet fleet_;
+};
+}  // namespace limemast::app
--- /dev/null
+++ b/src/cloud/fleet.cpp
@@ -0,0 +1,379 @@
+#include "cloud/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace limemast::cloud {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr auto kTimeout = 4s;
+constexpr auto kListEvery = 2s;
+constexpr auto kCatalogEvery = 30s;
+constexpr auto kCatalogRetry = 2s;
+constexpr auto kRefusedFor = 15s;
+constexpr auto kCloseFor = 3s;       ///< from closing a machine to giving it back, so that all controllers know
+constexpr double kCallShare = 0.8;   ///< of the cloud's rate; only the leader calls
+constexpr double kBootFactor = 4;    ///< a machine that takes longer than this times its boot time never comes
+constexpr std::uint32_t kMaxHire = 50;
+constexpr std::size_t kMaxRelease = 100;
+constexpr std::size_t kSickErrors = 3;
+constexpr std::size_t kSickJobs = 2;
+}  // namespace
+
+Fleet::Fleet(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
+             cluster::Membership& membership, cluster::JobIndex& index, machines::Registry& registry, jobs::Book& book)
+    : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror), membership_(membership), index_(index),
+      registry_(registry), book_(book), calls_(settings.cloud_rps * kCallShare, settings.cloud_rps) {}
+
+void Fleet::start() { tick(); }
+
+bool Fleet::take_call() { return calls_.take(runtime_.now(), 1); }
+
+void Fleet::load_types(const json& record) {
+  auto types = wire::parse_catalog(record);
+  if (!types) return;
+  if (prices_.empty()) prices_ = *types;
+  registry_.set_types(std::move(*types));
+}
+
+void Fleet::on_generation() {
+  if (membership_.generation().leader != membership_.self() || leading_) return;
+  leading_ = true;
+  led_since_ = runtime_.now();
+  for (const auto& name : registry_.all_registered()) machines_.try_emplace(name).first->second.since = runtime_.now();
+}
+
+void Fleet::fetch_catalog() {
+  const auto now = runtime_.now();
+  if (last_catalog_ != net::Time{} && now - last_catalog_ < (prices_.empty() ? net::Duration(kCatalogRetry) : net::Duration(kCatalogEvery))) return;
+  if (!take_call()) return;
+  last_catalog_ = now;
+  runtime_.http(settings_.cloud, {"GET", "/catalog", {}}, kTimeout, [this](net::HttpResult r) {
+    const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+    auto types = body.is_object() ? wire::parse_catalog(body) : std::nullopt;
+    if (!types || types->empty()) return;
+    prices_ = *types;
+    // All controllers learn the types from the state service: they must judge submissions while the cloud is down.
+    auto record = body;
+    const auto* old = mirror_.find(cluster::keys::kCatalog);
+    auto shape = [](json j) {
+      for (auto& f : j["flavors"]) f.erase("hourly"), f.erase("lowPrice");
+      return j;
+    };
+    if (old && shape(old->value) == shape(record)) return;
+    auto when = membership_.fences();
+    when.push_back({cluster::keys::kCatalog, old ? old->stamp : 0});
+    client_.txn(store::Priority::Vital, when, {{cluster::keys::kCatalog, record, 0}}, [this](store::TxnResult t) {
+      if (t.verdict != store::Verdict::Ok) last_catalog_ = {};
+    });
+  });
+}
+
+void Fleet::list(const std::string& from, std::shared_ptr<std::vector<wire::ListedMachine>> sofar) {
+  listing_ = true;
+  last_list_ = runtime_.now();
+  runtime_.http(settings_.cloud, {"GET", "/machines?" + (from.empty() ? std::string() : "from=" + from + "&") + "limit=500", {}}, kTimeout,
+                [this, sofar](net::HttpResult r) {
+                  listing_ = false;
+                  const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+                  bool more = false;
+                  auto page = body.is_object() ? wire::parse_machines(body, more) : std::nullopt;
+                  if (!page) return;
+                  sofar->insert(sofar->end(), page->begin(), page->end());
+                  if (more && !page->empty()) return list(sofar->back().name, sofar);
+                  on_list(*sofar);
+                });
+}
+
+void Fleet::on_list(const std::vector<wire::ListedMachine>& listed) {
+  listed_once_ = true;
+  const auto now = runtime_.now();
+  std::set<std::string> names;
+  for (const auto& l : listed) {
+    names.insert(l.name);
+    if (gone_.contains(l.name)) continue;
+    auto [it, fresh] = machines_.try_emplace(l.name);
+    auto& m = it->second;
+    if (fresh) m.since = now - net::to_duration(l.held);
+    m.type = l.type;
+    m.zone = l.zone;
+    m.spot = l.spot;
+    m.listed = true;
+    // Lists may be older than the one before: a machine that was up does not go back to booting.
+    if (m.phase == wire::MachinePhase::Booting || l.phase == wire::MachinePhase::Failed) m.phase = l.phase;
+    if (m.phase == wire::MachinePhase::Failed) to_release_.insert(l.name);
+  }
+  // Once listed, always listed until gone. What vanished is released all the same, as the only proof that it is gone.
+  for (const auto& [name, m] : machines_)
+    if (m.listed && !names.contains(name)) to_release_.insert(name);
+  const auto limit = now - 10 * net::to_duration(settings_.list_lag) - 60s;
+  std::erase_if(gone_, [&](const auto& g) { return g.second < limit; });
+}
+
+bool Fleet::busy(const std::string& machine) const {
+  if (const auto* view = registry_.find(machine))
+    if (std::any_of(view->report.tasks.begin(), view->report.tasks.end(), [](const auto& t) { return !t.exited(); })) return true;
+  for (const auto& [uid, job] : book_.jobs())
+    for (const auto& [index, b] : job->bound)
+      if (b.machine == machine) return true;
+  return false;
+}
+
+void Fleet::watch_health() {
+  const auto now = runtime_.now();
+  const auto lease = net::to_duration(settings_.lease);
+  for (const auto& [name, view] : registry_.views()) {
+    auto [it, fresh] = machines_.try_emplace(name);
+    auto& m = it->second;
+    if (fresh) m.since = view.first_heard;
+    m.type = view.report.type;
+    m.zone = view.report.zone;
+    m.spot = view.report.spot;
+    m.phase = wire::MachinePhase::Running;
+    // Silent for a whole lease: its tasks have ended or it is no more. Giving it back proves it.
+    if (now - view.heard > lease + net::to_duration(settings_.report)) to_release_.insert(name);
+    // A machine that fails tasks of different jobs is faulty; a job that fails everywhere is not the machine's fault.
+    auto& errors = errors_[name];
+    for (const auto& t : view.report.tasks) {
+      if (!t.exited()) continue;
+      if (t.cause == wire::Cause::Error) {
+        errors.attempts.insert({t.uid, t.attempt});
+        errors.jobs.insert(t.uid);
+      } else if (t.cause == wire::Cause::Done) {
+        errors = {};
+      }
+    }
+    if (errors.attempts.size() >= kSickErrors && errors.jobs.size() >= kSickJobs && !registry_.closed(name)) {
+      spdlog::info("machine {} fails what it starts: draining it, generation {}", name, membership_.generation().number);
+      registry_.close(name);
+      m.closed_at = now;
+    }
+  }
+  for (auto& [name, m] : machines_) {
+    const bool heard = registry_.find(name) != nullptr;
+    const auto* type = registry_.type(m.type);
+    const auto boot = type ? net::to_duration(type->boot * kBootFactor) + 30s : net::Duration(300s);
+    // Registered, yet silent since we lead; or booting for ever.
+    if (!heard && registry_.registered(name) && now - std::max(m.since, led_since_) > lease + 10s) to_release_.insert(name);
+    if (!heard && !registry_.registered(name) && now - m.since > boot) to_release_.insert(name);
+  }
+  std::erase_if(errors_, [&](const auto& e) { return !registry_.find(e.first); });
+}
+
+double Fleet::units(const wire::MachineType& type, const wire::JobSpec& spec) const {
+  // How many of these tasks the machine holds, by whichever resource runs out first.
+  double n = std::floor(type.cpus / std::max(spec.cpus, 0.01) + 1e-6);
+  if (spec.ram_gb > 0) n = std::min(n, std::floor(type.ram_gb / spec.ram_gb + 1e-6));
+  if (spec.accelerators > 0) n = std::min(n, std::floor(type.accelerators / spec.accelerators + 1e-6));
+  return n;
+}
+
+void Fleet::size() {
+  const auto now = runtime_.now();
+  Demand demand;
+  std::vector<const wire::JobSpec*> firm_jobs, cheap_jobs;
+  double spread_tasks = 0;
+  std::unordered_map<std::string, double> on_machines;  // tasks of jobs that other controllers own
+  for (const auto& [name, view] : registry_.views())
+    for (const auto& t : view.report.tasks)
+      if (t.exited() && t.cause == wire::Cause::Done) on_machines[t.uid] += 1;
+  for (const auto& [uid, open] : index_.all()) {
+    if (open.ended) continue;
+    double tasks = open.spec.tasks;
+    if (auto it = book_.jobs().find(uid); it != book_.jobs().end()) tasks -= it->second->done_count;
+    const double cpus = tasks * open.spec.cpus;
+    if (open.spec.service || !open.spec.spot) {
+      demand.firm += cpus;
+      firm_jobs.push_back(&open.spec);
+      spread_tasks += tasks;
+    } else {
+      demand.cheap += cpus;
+      cheap_jobs.push_back(&open.spec);
+    }
+  }
+  Demand have;
+  for (const auto& [name, m] : machines_) {
+    const auto* type = registry_.type(m.type);
+    if (!type || to_release_.contains(name) || registry_.closed(name)) continue;
+    if (const auto* view = registry_.find(name); view && view->report.notice) continue;
+    (m.spot ? have.cheap : have.firm) += type->cpus;
+  }
+  for (const auto& h : hires_)
+    if (const auto* type = registry_.type(h.type)) (h.spot ? have.cheap : have.firm) += type->cpus * h.count;
+
+  double largest = 0;
+  for (const auto& [name, t] : registry_.types()) largest = std::max(largest, t.cpus);
+  // Room for what comes next and for the loss of a machine.
+  const double firm_wanted = demand.firm > 0 ? demand.firm * 1.06 + largest / 2 : 0;
+  if (firm_wanted > have.firm) hire(false, firm_wanted - have.firm, firm_jobs);
+  if (demand.cheap > have.cheap) hire(true, demand.cheap - have.cheap, cheap_jobs);
+
+  // Giving back: what has been idle for a while and is more than is wanted.
+  for (auto& [name, m] : machines_) {
+    const auto* type = registry_.type(m.type);
+    if (!type || m.phase != wire::MachinePhase::Running || !registry_.find(name)) continue;
+    if (busy(name)) {
+      m.idle_since = {};
+      continue;
+    }
+    if (m.idle_since == net::Time{}) m.idle_since = now;
+    if (registry_.closed(name) || now - m.idle_since < net::to_duration(settings_.tuning.idle_return)) continue;
+    const double surplus = m.spot ? have.cheap - demand.cheap : have.firm - firm_wanted;
+    if (surplus < type->cpus) continue;
+    registry_.close(name);
+    m.closed_at = now;
+    (m.spot ? have.cheap : have.firm) -= type->cpus;
+  }
+  for (auto& [name, m] : machines_) {
+    if (!registry_.closed(name) || m.closed_at == net::Time{} || now - m.closed_at < kCloseFor) continue;
+    if (!busy(name)) to_release_.insert(name);
+  }
+}
+
+void Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting) {
+  const auto now = runtime_.now();
+  if (waiting.empty() || !hires_.empty()) return;
+  struct Offer {
+    const wire::MachineType* type;
+    std::string zone;
+    double cost;  ///< per CPU that the waiting tasks can really use
+  };
+  // A typical task: what most of the waiting CPUs ask for.
+  const auto* typical = *std::max_element(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
+    return a->cpus * a->tasks < b->cpus * b->tasks;
+  });
+  std::map<std::string, double> by_zone;
+  for (const auto& [name, m] : machines_)
+    if (const auto* t = registry_.type(m.type); t && m.spot == spot) by_zone[m.zone] += t->cpus;
+  std::vector<Offer> offers;
+  for (const auto& type : prices_) {
+    if (!typical->allows_type(type.name)) continue;
+    const double used = units(type, *typical) * typical->cpus;
+    if (used <= 0) continue;
+    for (const auto& zone : type.zones) {
+      auto until = refused_until_.find({type.name, zone, spot});
+      if (until != refused_until_.end() && now < until->second) continue;
+      if (typical->zone && *typical->zone != zone) continue;
+      offers.push_back({&type, zone, (spot ? type.spot_price : type.price) / used});
+    }
+  }
+  if (offers.empty()) return;
+  // Ordinary machines hold services: they are spread over the zones before the price is looked at.
+  std::sort(offers.begin(), offers.end(), [&](const Offer& a, const Offer& b) {
+    if (!spot && a.zone != b.zone && std::abs(by_zone[a.zone] - by_zone[b.zone]) > 1e-6) return by_zone[a.zone] < by_zone[b.zone];
+    if (a.cost != b.cost) return a.cost < b.cost;
+    return by_zone[a.zone] < by_zone[b.zone];
+  });
+  const auto& best = offers.front();
+  // Part of the need at a time, so that the zones fill evenly.
+  const double share = spot ? cpus : std::max(cpus / 2, std::min(cpus, best.type->cpus));
+  const auto count = static_cast<std::uint32_t>(std::clamp(std::ceil(share / best.type->cpus - 0.25), 1.0, double{kMaxHire}));
+  Hire h;
+  h.name = "r-" + std::to_string(membership_.generation().number) + "-" + settings_.label + "-" + std::to_string(next_hire_++);
+  h.type = best.type->name;
+  h.zone = best.zone;
+  h.spot = spot;
+  h.count = count;
+  hires_.push_back(h);
+}
+
+void Fleet::send_hires() {
+  for (auto& h : hires_) {
+    if (h.sent || !take_call()) continue;
+    h.sent = true;
+    const json body{{"hire", h.name}, {"flavor", h.type}, {"district", h.zone}, {"reclaimable", h.spot}, {"howMany", h.count}};
+    runtime_.http(settings_.cloud, {"POST", "/machines", body.dump()}, kTimeout, [this, name = h.name](net::HttpResult r) {
+      auto it = std::find_if(hires_.begin(), hires_.end(), [&](const Hire& h) { return h.name == name; });
+      if (it == hires_.end()) return;
+      const auto body = json::parse(r.body, nullptr, false);
+      const auto key = std::tuple(it->type, it->zone, it->spot);
+      if (r.status == 200 && body.is_object() && body.contains("hosts")) {
+        std::uint32_t got = 0;
+        for (const auto& host : body["hosts"]) {
+          if (!host.is_string()) continue;
+          auto& m = machines_.try_emplace(host.get<std::string>()).first->second;
+          m.type = it->type;
+          m.zone = it->zone;
+          m.spot = it->spot;
+          m.since = runtime_.now();
+          ++got;
+        }
+        if (got < it->count) refused_until_[key] = runtime_.now() + kRefusedFor;
+        spdlog::info("hired {} of {} {} in {}{}, generation {}", got, it->count, it->type, it->zone, it->spot ? " (spot)" : "",
+                     membership_.generation().number);
+        hires_.erase(it);
+      } else if (r.status == 400 || (r.status == 503 && body.is_object() && body.value("error", "") == "no capacity")) {
+        refused_until_[key] = runtime_.now() + kRefusedFor;
+        hires_.erase(it);
+      } else {
+        // Unanswered, an outage or too fast: under the same name nothing is rented twice.
+        runtime_.after(1s, [this, name] {
+          for (auto& h : hires_)
+            if (h.name == name) h.sent = false;
+        });
+      }
+    });
+  }
+}
+
+void Fleet::give_back() {
+  if (releasing_ || to_release_.empty()) return;
+  std::vector<std::string> names;
+  for (const auto& name : to_release_) {
+    if (names.size() >= kMaxRelease) break;
+    names.push_back(name);
+  }
+  if (take_call()) release(names);
+}
+
+void Fleet::release(const std::vector<std::string>& names) {
+  releasing_ = true;
+  for (const auto& name : names) registry_.close(name);
+  runtime_.http(settings_.cloud, {"POST", "/machines/release", json{{"hosts", names}}.dump()}, kTimeout, [this, names](net::HttpResult r) {
+    releasing_ = false;
+    if (r.status != 200) return;
+    for (const auto& name : names) {
+      spdlog::info("machine {} given back, generation {}", name, membership_.generation().number);
+      to_release_.erase(name);
+      machines_.erase(name);
+      gone_[name] = runtime_.now();
+      if (registry_.registered(name)) to_unregister_.insert(name);
+      // Not yet registered, so never commanded: nothing can be bound to it.
+    }
+    unregister();
+  });
+}
+
+void Fleet::unregister() {
+  // The removal of its record tells every controller that the machine and all on it are gone.
+  std::erase_if(to_unregister_, [&](const auto& name) { return !registry_.registered(name); });
+  if (to_unregister_.empty() || !membership_.entitled()) return;
+  std::vector<store::Write> writes;
+  for (const auto& name : to_unregister_) {
+    if (writes.size() >= settings_.txn_ops) break;
+    writes.push_back({cluster::keys::machine(name), std::nullopt, 0});
+  }
+  client_.txn(store::Priority::User, membership_.fences(), writes, [](store::TxnResult) {});
+}
+
+void Fleet::tick() {
+  if (membership_.leads() && leading_) {
+    const auto now = runtime_.now();
+    fetch_catalog();
+    send_hires();
+    give_back();
+    if (!listing_ && now - last_list_ > kListEvery && take_call()) list("", std::make_shared<std::vector<wire::ListedMachine>>());
+    watch_health();
+    unregister();
+    // After a takeover the list must have caught up with what the last leader rented.
+    const bool inherited = !registry_.all_registered().empty() || membership_.leading_since() > membership_.generation().number;
+    if (listed_once_ && !registry_.types().empty() && (!inherited || now - led_since_ > net::to_duration(settings_.list_lag))) size();
+    send_hires();
+    give_back();
+  }
+  runtime_.after(500ms, [this] { tick(); });
+}
+}  // namespace limemast::cloud
--- /dev/null
+++ b/src/cloud/fleet.hpp
@@ -0,0 +1,86 @@
+#pragma once
+#include "jobs/placer.hpp"
+
+namespace limemast::cloud {
+/// The leader's dealings with the cloud: which machines to rent, which to give back.
+class Fleet {
+ public:
+  Fleet(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
+        cluster::Membership& membership, cluster::JobIndex& index, machines::Registry& registry, jobs::Book& book);
+  void start();
+  void on_generation();
+  void tick();
+  /// True once the cloud's types are known here, from the cloud or from the state service.
+  void load_types(const wire::json& record);
+
+ private:
+  struct Machine {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    wire::MachinePhase phase = wire::MachinePhase::Booting;
+    net::Time since{};         ///< rented, or first heard of
+    net::Time idle_since{};
+    net::Time closed_at{};
+    bool listed = false;
+    bool releasing = false;
+  };
+  struct Hire {
+    std::string name;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint32_t count = 0;
+    bool sent = false;
+  };
+  /// Capacity by kind of machine, in CPUs.
+  struct Demand {
+    double firm = 0;   ///< work that ordinary machines alone may take
+    double cheap = 0;  ///< work that spot machines may take
+  };
+
+  void fetch_catalog();
+  void list(const std::string& from, std::shared_ptr<std::vector<wire::ListedMachine>> sofar);
+  void on_list(const std::vector<wire::ListedMachine>& listed);
+  void watch_health();
+  void size();
+  void hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting);
+  void send_hires();
+  void give_back();
+  void release(const std::vector<std::string>& names);
+  void unregister();
+  bool busy(const std::string& machine) const;
+  double units(const wire::MachineType& type, const wire::JobSpec& spec) const;
+  bool take_call();
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  store::Client& client_;
+  const store::Mirror& mirror_;
+  cluster::Membership& membership_;
+  cluster::JobIndex& index_;
+  machines::Registry& registry_;
+  jobs::Book& book_;
+  net::TokenBucket calls_;
+  std::vector<wire::MachineType> prices_;  ///< types with current prices
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, net::Time> gone_;  ///< given back: a lagging list may still show them
+  std::vector<Hire> hires_;
+  std::map<std::tuple<std::string, std::string, bool>, net::Time> refused_until_;
+  std::set<std::string> to_release_;
+  std::set<std::string> to_unregister_;
+  struct Errors {
+    std::set<std::pair<std::string, std::uint64_t>> attempts;
+    std::set<std::string> jobs;
+  };
+  std::map<std::string, Errors> errors_;
+  std::uint64_t next_hire_ = 1;
+  net::Time led_since_{};
+  net::Time last_list_{};
+  net::Time last_catalog_{};
+  bool leading_ = false;
+  bool listing_ = false;
+  bool listed_once_ = false;
+  bool releasing_ = false;
+};
+}  // namespace limemast::cloud
--- /dev/null
+++ b/src/cluster/job_index.hpp
@@ -0,0 +1,70 @@
+#pragma once
+#include <unordered_map>
+
+#include "cluster/membership.hpp"
+#include "wire/job.hpp"
+
+namespace limemast::cluster {
+/// An accepted job as its record in the state service tells it.
+struct OpenJob {
+  wire::JobSpec spec;
+  Tag accepted_by;
+  std::uint64_t generation = 0;  ///< in which it was accepted
+  bool is_long = false;
+  net::WallTime submitted{};
+  std::uint64_t stamp = 0;
+  bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
+  net::Time ended_at{};
+};
+
+/// All unfinished jobs, from the mirror, and who owns each in the present generation.
+class JobIndex {
+ public:
+  explicit JobIndex(const Membership& membership) : membership_(membership) {}
+
+  const OpenJob* find(const std::string& uid) const {
+    auto it = jobs_.find(uid);
+    return it == jobs_.end() ? nullptr : &it->second;
+  }
+  /// Long jobs belong to the leader, short ones to whoever accepted them, while that run of it lives.
+  Tag owner_of(const std::string& uid) const {
+    const auto* job = find(uid);
+    if (!job) return membership_.generation().leader;
+    return !job->is_long && membership_.member(job->accepted_by) ? job->accepted_by : membership_.generation().leader;
+  }
+  const std::unordered_map<std::string, OpenJob>& all() const { return jobs_; }
+
+  static wire::json record(const wire::JobSpec& spec, const Tag& by, std::uint64_t generation, bool is_long, net::WallTime at) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    return {{"spec", wire::to_json(spec)}, {"by", by}, {"generation", generation}, {"long", is_long}, {"at", ms}};
+  }
+
+  void put(const std::string& uid, const store::Entry& entry) {
+    std::string error;
+    auto spec = wire::parse_submission(entry.value.at("spec"), error);
+    if (!spec) return;
+    OpenJob job;
+    job.spec = std::move(*spec);
+    job.accepted_by = entry.value.at("by").get<Tag>();
+    job.generation = entry.value.at("generation").get<std::uint64_t>();
+    job.is_long = entry.value.at("long").get<bool>();
+    job.submitted = net::WallTime(std::chrono::milliseconds(entry.value.at("at").get<std::int64_t>()));
+    job.stamp = entry.stamp;
+    jobs_[uid] = std::move(job);
+  }
+  void end(const std::string& uid, net::Time now) {
+    auto it = jobs_.find(uid);
+    if (it == jobs_.end() || it->second.ended) return;
+    it->second.ended = true;
+    it->second.ended_at = now;
+  }
+  /// Forgets jobs that ended so long ago that nothing of them can be on a machine.
+  void prune(net::Time before) {
+    std::erase_if(jobs_, [&](const auto& j) { return j.second.ended && j.second.ended_at < before; });
+  }
+
+ private:
+  const Membership& membership_;
+  std::unordered_map<std::string, OpenJob> jobs_;
+};
+}  // namespace limemast::cluster
--- /dev/null
+++ b/src/cluster/router.hpp
@@ -0,0 +1,43 @@
+#pragma once
+#include <map>
+
+#include "cluster/membership.hpp"
+
+namespace limemast::cluster {
+/// Carries messages between the actors of all controllers, this one's included. A message names the runs
+/// that send and take it: what a dead run said, or what was meant for one, is dropped.
+class Router {
+ public:
+  using Handler = std::function<void(const Tag& from, const wire::json& message)>;
+  Router(net::Runtime& runtime, const Membership& membership) : runtime_(runtime), membership_(membership) {}
+
+  void on(const std::string& kind, Handler handler) { handlers_[kind] = std::move(handler); }
+
+  void send(const Tag& to, const std::string& kind, wire::json message) {
+    message["t"] = kind;
+    message["to"] = to;
+    message["from"] = membership_.self();
+    if (to == membership_.self()) {
+      runtime_.post([this, message = std::move(message)] { receive(message); });
+    } else if (membership_.member(to)) {
+      runtime_.send_peer(label_of(to), message);
+    }
+  }
+  /// To all other members.
+  void broadcast(const std::string& kind, const wire::json& message) {
+    for (const auto& tag : membership_.generation().members)
+      if (tag != membership_.self()) send(tag, kind, message);
+  }
+  void receive(const wire::json& message) {
+    if (membership_.self().empty() || message.at("to").get_ref<const Tag&>() != membership_.self()) return;
+    const auto from = message.at("from").get<Tag>();
+    if (!membership_.member(from)) return;
+    if (auto it = handlers_.find(message.at("t").get_ref<const std::string&>()); it != handlers_.end()) it->second(from, message);
+  }
+
+ private:
+  net::Runtime& runtime_;
+  const Membership& membership_;
+  std::map<std::string, Handler> handlers_;
+};
+}  // namespace limemast::cluster
--- /dev/null
+++ b/src/jobs/book.cpp
@@ -0,0 +1,564 @@
+#include "jobs/book.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace limemast::jobs {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr auto kAskAfter = 3s;
+constexpr auto kCommitRetry = 300ms;
+constexpr auto kRefusedPause = 500ms;
+constexpr auto kFailedOn = 30s;
+constexpr auto kFailurePause = 250ms;
+constexpr unsigned kMaxDoublings = 7;
+/// The mirror may lag behind a controller that started a task: no task is a stray before this.
+constexpr auto kUnknownGrace = 10s;
+constexpr unsigned kAttemptBits = 24;
+}  // namespace
+
+const char* name_of(Phase phase) {
+  switch (phase) {
+    case Phase::Pending: return "pending";
+    case Phase::Running: return "running";
+    case Phase::Done: return "done";
+    case Phase::Cancelled: return "cancelled";
+  }
+  return "";
+}
+
+Book::Book(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
+           cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry)
+    : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router), index_(index),
+      registry_(registry), budgets_(runtime, settings, membership, router), progress_(runtime, settings, client, membership) {
+  router_.on("pull", [this](auto& from, auto& m) { on_pull(from, m); });
+  router_.on("settled", [this](auto& from, auto& m) { on_settled(from, m); });
+  router_.on("rejected", [this](auto& from, auto& m) { on_rejected(from, m); });
+  router_.on("dropped", [this](auto&, auto& m) {
+    if (auto* job = find(m.at("uid").template get<std::string>())) job->probes.erase(m.at("machine").template get<std::string>());
+  });
+}
+
+Job* Book::find(const std::string& uid) {
+  auto it = jobs_.find(uid);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+json Book::wall_ms() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.wall().time_since_epoch()).count();
+}
+
+void Book::sync() {
+  if (membership_.self().empty()) return;
+  const auto& generation = membership_.generation();
+  if (!membership_.member(membership_.self())) return;
+  bool inherited = false;
+  for (const auto& [uid, open] : index_.all()) {
+    if (open.ended || jobs_.contains(uid) || index_.owner_of(uid) != membership_.self()) continue;
+    auto job = std::make_unique<Job>();
+    job->open = open;
+    job->done.resize(open.spec.tasks);
+    job->recorded = TaskSet(open.spec.tasks);
+    const bool ours_from_birth = open.is_long ? open.generation >= membership_.leading_since()
+                                              : open.accepted_by == membership_.self();
+    if (!ours_from_birth) {
+      // Some run that is lost may have handed tasks out: wait until every machine has shown what it holds.
+      job->gate = generation.number;
+      job->progress_known = open.spec.service;
+      inherited = inherited || !job->progress_known;
+      job->dirty = true;
+    }
+    auto& entry = *job;
+    jobs_.emplace(uid, std::move(job));
+    if (!open.is_long && membership_.entitled()) probe(entry);
+  }
+  if (inherited) load_progress();
+}
+
+void Book::load_progress() {
+  if (loading_) return;
+  loading_ = true;
+  const auto generation = membership_.generation().number;
+  progress_.read([this, generation](std::vector<ProgressPiece> pieces) {
+    loading_ = false;
+    std::set<std::string> touched;
+    for (const auto& p : pieces) {
+      auto* job = find(p.uid);
+      if (job && job->gate != 0 && job->recorded.merge_hex(p.piece, p.hex)) touched.insert(p.uid);
+    }
+    bool again = false;
+    for (auto& [uid, job] : jobs_) {
+      if (job->progress_known) continue;
+      if (job->gate > generation) {  // inherited while we were reading
+        again = true;
+        continue;
+      }
+      job->progress_known = true;
+      if (touched.contains(uid))
+        for (std::uint32_t i = 0; i < job->open.spec.tasks; ++i)
+          if (job->recorded.test(i)) mark_done(*job, i);
+    }
+    if (again) load_progress();
+  });
+}
+
+void Book::on_generation() {
+  budgets_.on_generation();
+  const auto base = cluster::mandate_base(membership_.generation().number);
+  for (auto& [uid, job] : jobs_)
+    for (auto& [index, b] : job->bound)
+      if (!b.settled && b.void_from == 0 && !membership_.member(b.deliverer)) b.void_from = base;
+  sync();
+  for (auto& [uid, job] : jobs_)
+    std::erase_if(job->probes, [&](const auto& p) { return !membership_.member(p.second); });
+}
+
+// ---- what machines show ----
+
+void Book::on_view(const std::string& machine) {
+  const auto* view = registry_.find(machine);
+  if (!view) return;
+  const auto& r = view->report;
+
+  if (auto it = on_machine_.find(machine); it != on_machine_.end()) {
+    const auto here = it->second;  // unbinding changes the set
+    for (const auto& [uid, index] : here) {
+      auto* job = find(uid);
+      if (!job) continue;
+      auto found = job->bound.find(index);
+      if (found == job->bound.end()) continue;
+      auto& b = found->second;
+      if (r.tenure > b.tenure) {
+        unbind(*job, index, true);
+        continue;
+      }
+      if (r.tenure < b.tenure) continue;
+      const auto* t = r.find(uid, index, b.attempt);
+      if (!b.settled && b.void_from != 0 && r.mandate >= b.void_from) {
+        // Its deliverer is lost; whatever it sent bears a lower mandate than this machine has seen by now.
+        b.settled = true;
+        b.settled_tick = r.tick;
+        if (!t) unbind(*job, index, true);
+        else if (t->exited()) on_exit(*job, index, *t, machine);
+        else b.running = t->phase != wire::TaskPhase::Fetching;
+        continue;
+      }
+      if (!t) {
+        if (b.settled && r.tick > b.settled_tick) unbind(*job, index, true);
+        continue;
+      }
+      b.running = t->phase == wire::TaskPhase::Running || t->phase == wire::TaskPhase::Saving;
+      // An exit counts once its delivery is settled: until then the same order may still be on its way.
+      if (t->exited() && b.settled) on_exit(*job, index, *t, machine);
+    }
+  }
+
+  for (const auto& t : r.tasks) {
+    if (index_.owner_of(t.uid) != membership_.self()) continue;
+    auto* job = find(t.uid);
+    const auto* known = index_.find(t.uid);
+    if (!job) {
+      if (known) continue;  // ended: whoever hears the machine sees to it; or not taken up yet
+      auto [since, fresh] = unknown_since_.try_emplace(t.uid, runtime_.now());
+      if (!fresh && runtime_.now() - since->second > kUnknownGrace && membership_.entitled())
+        order(machine, t, t.exited() ? wire::Verb::Clear : wire::Verb::Kill);
+      continue;
+    }
+    if (job->over || t.index >= job->open.spec.tasks || !membership_.entitled()) continue;
+    auto found = job->bound.find(t.index);
+    const bool is_bound = found != job->bound.end() && found->second.machine == machine && found->second.attempt == t.attempt;
+    if (is_bound) continue;
+    const bool settled = r.mandate >= cluster::mandate_base(job->gate);
+    if (t.exited()) {
+      if (t.cause == wire::Cause::Done && !job->open.spec.service && !job->done[t.index]) {
+        if (found == job->bound.end()) mark_done(*job, t.index);
+      }
+      const bool finished = t.cause == wire::Cause::Done && !job->open.spec.service;
+      if (settled && (!finished || (job->done[t.index] && job->recorded.test(t.index)))) order(machine, t, wire::Verb::Clear);
+      continue;
+    }
+    if (job->done[t.index] || found != job->bound.end()) {
+      order(machine, t, wire::Verb::Kill);
+      continue;
+    }
+    // A task that nobody here remembers, of a job that is alive: it is taken over as it runs.
+    Binding b;
+    b.machine = machine;
+    b.zone = r.zone;
+    b.tenure = r.tenure;
+    b.attempt = t.attempt;
+    b.settled = settled;
+    b.settled_tick = r.tick;
+    b.void_from = cluster::mandate_base(job->gate);
+    b.running = t.phase != wire::TaskPhase::Fetching;
+    b.since = runtime_.now();
+    job->bound.emplace(t.index, std::move(b));
+    std::erase(job->returned, t.index);
+    ++job->zones[r.zone];
+    on_machine_[machine].insert({t.uid, t.index});
+    budgets_.use(job->open.spec.team, machines::Room::of(job->open.spec));
+  }
+}
+
+void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb) {
+  const auto* view = registry_.find(machine);
+  if (!view) return;
+  const wire::Order o{verb, t.uid, t.index, t.attempt, wire::Seconds(0)};
+  router_.send(view->host, "order", {{"machine", machine}, {"order", wire::to_json(o)}, {"at", wall_ms()}});
+}
+
+void Book::on_exit(Job& job, std::uint32_t index, const wire::TaskReport& t, const std::string& machine) {
+  const bool finished = t.cause == wire::Cause::Done && !job.open.spec.service;
+  unbind(job, index, !finished);
+  if (finished) {
+    job.failures = 0;
+    mark_done(job, index);
+  } else if (t.cause == wire::Cause::Error || t.cause == wire::Cause::NoSuch || t.cause == wire::Cause::Done) {
+    job.failed_on[machine] = runtime_.now();
+    // A job that fails everywhere keeps its small remaining estimate and would win every pull: it is backed off.
+    job.failures = std::min(job.failures + 1, kMaxDoublings);
+    job.not_before = runtime_.now() + kFailurePause * (1u << job.failures);
+    spdlog::info("job {} task {} failed on {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
+  } else if (t.cause == wire::Cause::Full || t.cause == wire::Cause::InUse) {
+    spdlog::debug("job {} task {} refused by {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
+  }
+  // Its entry on the machine is cleared below, with the same report, unless its result has yet to be recorded.
+}
+
+void Book::mark_done(Job& job, std::uint32_t index) {
+  if (job.done[index]) return;
+  job.done[index] = true;
+  ++job.done_count;
+  std::erase(job.returned, index);
+  job.dirty = true;
+  if (job.done_count == job.open.spec.tasks && job.alive()) finish(job, Phase::Done);
+}
+
+void Book::on_machine_removed(const std::string& machine) {
+  auto it = on_machine_.find(machine);
+  if (it != on_machine_.end()) {
+    const auto here = it->second;
+    for (const auto& [uid, index] : here)
+      if (auto* job = find(uid)) unbind(*job, index, true);
+    on_machine_.erase(machine);
+  }
+  for (auto& [uid, job] : jobs_) job->probes.erase(machine);
+}
+
+// ---- handing out ----
+
+bool Book::may_hand_out(const Job& job) const {
+  return membership_.entitled() && job.alive() && job.progress_known && runtime_.now() >= job.not_before &&
+         (job.gate == 0 || registry_.all_known_since(job.gate));
+}
+
+bool Book::may_place(const Job& job, const View& view, bool budget) {
+  const auto& s = job.open.spec;
+  const auto& r = view.report;
+  if (!s.allows_type(r.type) || (s.zone && *s.zone != r.zone) || (r.spot && !s.spot)) return false;
+  if (auto it = job.failed_on.find(r.machine); it != job.failed_on.end() && runtime_.now() - it->second < kFailedOn) return false;
+  if (s.one_zone)
+    for (const auto& [zone, count] : job.zones)
+      if (count > 0 && zone != r.zone) return false;
+  if (s.spread) {
+    auto it = job.zones.find(r.zone);
+    if ((it == job.zones.end() ? 0 : it->second) + 1 > s.zone_cap()) return false;
+  }
+  return !budget || budgets_.may_use(s.team, machines::Room::of(s));
+}
+
+std::optional<std::uint32_t> Book::next_task(Job& job) {
+  while (!job.returned.empty()) {
+    const auto index = job.returned.front();
+    job.returned.pop_front();
+    if (!job.done[index] && !job.bound.contains(index)) return index;
+  }
+  for (; job.cursor < job.open.spec.tasks; ++job.cursor)
+    if (!job.done[job.cursor] && !job.bound.contains(job.cursor)) return job.cursor++;
+  return std::nullopt;
+}
+
+void Book::bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict) {
+  const auto& s = job.open.spec;
+  Binding b;
+  b.machine = view.report.machine;
+  b.zone = view.report.zone;
+  b.tenure = view.report.tenure;
+  b.attempt = membership_.generation().number << kAttemptBits | ++attempts_;
+  b.deliverer = view.host;
+  b.since = b.asked = runtime_.now();
+  ++job.zones[b.zone];
+  on_machine_[b.machine].insert({s.uid, index});
+  budgets_.use(s.team, machines::Room::of(s));
+  json room_from = json::array();
+  for (const auto& t : evict) room_from.push_back(wire::to_json(wire::Order{wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)}));
+  router_.send(view.host, "run",
+               {{"machine", b.machine}, {"uid", s.uid}, {"index", index}, {"attempt", b.attempt}, {"tenure", b.tenure},
+                {"cpus", s.cpus}, {"ram", s.ram_gb}, {"acc", s.accelerators}, {"pulled", pulled}, {"evict", room_from}, {"at", wall_ms()}});
+  job.bound.emplace(index, std::move(b));
+}
+
+void Book::unbind(Job& job, std::uint32_t index, bool todo) {
+  auto it = job.bound.find(index);
+  if (it == job.bound.end()) return;
+  const auto& b = it->second;
+  if (auto z = job.zones.find(b.zone); z != job.zones.end() && --z->second == 0) job.zones.erase(z);
+  if (auto m = on_machine_.find(b.machine); m != on_machine_.end()) m->second.erase({job.open.spec.uid, index});
+  budgets_.release(job.open.spec.team, machines::Room::of(job.open.spec));
+  job.bound.erase(it);
+  if (todo && !job.done[index] && index < job.cursor) job.returned.push_back(index);
+}
+
+bool Book::refused_lately(const std::string& machine) const {
+  auto it = refused_.find(machine);
+  return it != refused_.end() && runtime_.now() - it->second < kRefusedPause;
+}
+
+bool Book::place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict) {
+  auto* job = find(uid);
+  const auto* view = registry_.find(machine);
+  if (!job || !view || !may_hand_out(*job) || !may_place(*job, *view)) return false;
+  const auto index = next_task(*job);
+  if (!index) return false;
+  bind(*job, *index, *view, false, evict);
+  return true;
+}
+
+void Book::on_pull(const Tag& from, const json& m) {
+  const auto uid = m.at("uid").get<std::string>();
+  const auto machine = m.at("machine").get<std::string>();
+  auto* job = find(uid);
+  const auto* view = registry_.find(machine);
+  auto none = [&](bool over) { router_.send(from, "none", {{"uid", uid}, {"machine", machine}, {"over", over}}); };
+  if (!job || !job->alive() || job->todo() == 0) {
+    if (job) job->probes.erase(machine);
+    return none(true);
+  }
+  if (!may_hand_out(*job) || !view || view->host != from || view->report.tenure != m.at("tenure").get<std::uint64_t>() ||
+      !registry_.registered(machine) || !may_place(*job, *view))
+    return none(false);
+  const auto index = next_task(*job);
+  if (!index) return none(false);
+  bind(*job, *index, *view, true);
+}
+
+void Book::on_settled(const Tag& from, const json& m) {
+  auto* job = find(m.at("uid").get<std::string>());
+  if (!job) return;
+  const auto index = m.at("index").get<std::uint32_t>();
+  auto it = job->bound.find(index);
+  if (it == job->bound.end() || it->second.attempt != m.at("attempt").get<std::uint64_t>() || it->second.deliverer != from) return;
+  auto& b = it->second;
+  if (b.settled) return;
+  if (!m.at("present").get<bool>()) {
+    refused_[b.machine] = runtime_.now();
+    return unbind(*job, index, true);
+  }
+  b.settled = true;
+  b.settled_tick = m.at("tick").get<std::uint64_t>();
+  // What our own view shows may be newer than the proof.
+  on_view(b.machine);
+}
+
+// ---- probes ----
+
+std::vector<std::string> Book::eligible(const Job& job) const {
+  const auto& s = job.open.spec;
+  std::vector<std::string> out;
+  for (const auto& [name, view] : registry_.views()) {
+    const auto& r = view.report;
+    if (!registry_.registered(name) || registry_.closed(name) || r.notice || job.probes.contains(name) || !s.allows_type(r.type) ||
+        (s.zone && *s.zone != r.zone) || (r.spot && !s.spot))
+      continue;
+    const auto* type = registry_.type(r.type);
+    if (!type || !type->fits(s)) continue;
+    out.push_back(name);
+  }
+  return out;
+}
+
+void Book::probe(Job& job) {
+  if (!job.alive() || job.todo() == 0 || !job.progress_known) return;
+  auto from = eligible(job);
+  const auto wanted = sched::probe_count(job.todo(), settings_.tuning.min_probes, from.size() + job.probes.size());
+  if (job.probes.size() >= wanted) return;
+  for (const auto& machine : sched::draw(std::move(from), wanted - job.probes.size(), runtime_.random())) send_probe(job, machine, 0);
+}
+
+void Book::send_probe(Job& job, const std::string& machine, int stage) {
+  const auto* view = registry_.find(machine);
+  if (!view) return;
+  const auto& s = job.open.spec;
+  job.probes[machine] = view->host;
+  router_.send(view->host, "probe",
+               {{"uid", s.uid}, {"machine", machine}, {"stage", stage}, {"estimate", s.estimate.count()}, {"left", job.todo()},
+                {"cpus", s.cpus}, {"ram", s.ram_gb}, {"acc", s.accelerators}});
+}
+
+void Book::on_rejected(const Tag&, const json& m) {
+  auto* job = find(m.at("uid").get<std::string>());
+  const auto machine = m.at("machine").get<std::string>();
+  machines::LongMap map;
+  map.generation = m.at("generation").get<std::uint64_t>();
+  map.serial = m.at("serial").get<std::uint64_t>();
+  if (map.fresher_than(registry_.long_map())) {
+    map.with_long = m.at("map").get<std::set<std::string>>();
+    map.short_part = m.at("short_part").get<std::set<std::string>>();
+    registry_.long_map() = std::move(map);
+  }
+  if (!job || job->probes.erase(machine) == 0 || job->todo() == 0) return;
+  const auto stage = m.at("stage").get<int>() + 1;
+  if (stage > 2 || !m.at("long").get<bool>()) return;  // redrawn at random by the next tick
+  auto from = eligible(*job);
+  const auto& newest = registry_.long_map();
+  std::erase_if(from, [&](const std::string& name) {
+    return name == machine || (stage == 1 ? newest.with_long.contains(name) : !newest.short_part.contains(name));
+  });
+  for (const auto& target : sched::draw(std::move(from), 1, runtime_.random())) send_probe(*job, target, stage);
+}
+
+// ---- endings ----
+
+void Book::finish(Job& job, Phase phase) {
+  job.ending = phase;
+  commit(job.open.spec.uid);
+}
+
+void Book::commit(const std::string& uid) {
+  auto* job = find(uid);
+  if (!job || !job->ending || job->over) return;
+  if (!membership_.entitled()) {
+    runtime_.after(kCommitRetry, [this, uid] { commit(uid); });
+    return;
+  }
+  auto when = membership_.fences();
+  when.push_back({cluster::keys::open_job(uid), job->open.stamp});
+  client_.txn(store::Priority::User, when,
+              {{cluster::keys::open_job(uid), std::nullopt, 0},
+               {cluster::keys::final_job(uid), json{{"phase", name_of(*job->ending)}, {"tasks", job->open.spec.tasks}}, 0}},
+              [this, uid](store::TxnResult r) {
+                auto* job = find(uid);
+                if (!job) return;
+                if (r.verdict == store::Verdict::Ok) return closed(uid, *job->ending);
+                if (r.verdict == store::Verdict::Refused) {
+                  runtime_.after(kCommitRetry, [this, uid] { commit(uid); });
+                  return;
+                }
+                learn_outcome(uid);
+              });
+}
+
+void Book::learn_outcome(const std::string& uid) {
+  client_.get(store::Priority::User, cluster::keys::final_job(uid), [this, uid](store::GetResult g) {
+    auto* job = find(uid);
+    if (!job) return;
+    if (g.answered && g.found) return closed(uid, g.value.value("phase", "") == "done" ? Phase::Done : Phase::Cancelled);
+    runtime_.after(kCommitRetry, [this, uid, answered = g.answered] { answered ? commit(uid) : learn_outcome(uid); });
+  });
+}
+
+void Book::closed(const std::string& uid, Phase phase) {
+  auto* job = find(uid);
+  if (!job || job->over) return;
+  job->ending = phase;
+  job->over = true;
+  spdlog::debug("job {} {}, generation {}", uid, name_of(phase), membership_.generation().number);
+  for (auto& done : std::exchange(job->waiting, {})) done(phase);
+}
+
+std::optional<Status> Book::status(const std::string& uid) const {
+  auto it = jobs_.find(uid);
+  if (it == jobs_.end()) return std::nullopt;
+  const auto& job = *it->second;
+  Status s;
+  s.done = job.done_count;
+  for (const auto& [index, b] : job.bound) s.running += b.running;
+  s.deciding = job.ending && !job.over;
+  s.phase = job.over ? *job.ending : s.running > 0 ? Phase::Running : Phase::Pending;
+  return s;
+}
+
+void Book::cancel(const std::string& uid, std::function<void(std::optional<Phase>)> done) {
+  auto* job = find(uid);
+  if (!job) return done(std::nullopt);
+  if (job->over) return done(job->ending);
+  job->waiting.push_back(std::move(done));
+  if (!job->ending) finish(*job, Phase::Cancelled);
+}
+
+// ---- regular work ----
+
+void Book::record_progress() {
+  if (progress_.busy() || !membership_.entitled()) return;
+  const auto now = runtime_.now();
+  if (now - last_record_ < net::to_duration(settings_.tuning.progress_interval)) return;
+  const bool dirty = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return j.second->dirty && j.second->alive(); });
+  if (!dirty) return;
+  last_record_ = now;
+  std::vector<ProgressPiece> pieces;
+  std::map<std::string, TaskSet> written;
+  std::vector<std::string> names;
+  for (const auto& [uid, job] : jobs_)
+    if (job->alive() && !job->open.spec.service && job->progress_known && job->done_count > 0) names.push_back(uid);
+  std::sort(names.begin(), names.end());
+  for (const auto& uid : names) {
+    auto& job = *find(uid);
+    TaskSet set(job.open.spec.tasks);
+    for (std::uint32_t i = 0; i < job.open.spec.tasks; ++i)
+      if (job.done[i]) set.set(i);
+    for (std::uint32_t p = 0; p < set.pieces(); ++p) pieces.push_back({uid, p, set.piece_hex(p)});
+    job.dirty = false;
+    written.emplace(uid, std::move(set));
+  }
+  progress_.write(pieces, [this, written = std::move(written)](bool ok) {
+    for (const auto& [uid, set] : written) {
+      auto* job = find(uid);
+      if (!job) continue;
+      if (ok)
+        job->recorded = set;
+      else
+        job->dirty = true;
+    }
+    const bool all_known = std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return j.second->progress_known; });
+    if (ok && all_known && membership_.leads()) progress_.remove_strangers();
+  });
+}
+
+void Book::tick() {
+  const auto now = runtime_.now();
+  json left = json::array();
+  std::vector<std::string> finished;
+  for (auto& [uid, job] : jobs_) {
+    // Not before the mirror shows the end as well: the job would be taken up anew from its old record.
+    if (const auto* known = index_.find(uid); job->over && job->bound.empty() && (!known || known->ended)) finished.push_back(uid);
+    std::erase_if(job->failed_on, [&](const auto& f) { return now - f.second > kFailedOn; });
+    for (auto& [index, b] : job->bound) {
+      if (b.settled || now - b.asked < kAskAfter || !membership_.member(b.deliverer)) continue;
+      b.asked = now;
+      router_.send(b.deliverer, "query", {{"machine", b.machine}, {"uid", uid}, {"index", index}, {"attempt", b.attempt}, {"tenure", b.tenure}});
+    }
+    if (job->open.is_long || !job->alive()) continue;
+    // A probe whose machine is heard elsewhere by now, or not at all, is lost.
+    std::erase_if(job->probes, [&](const auto& p) {
+      const auto* view = registry_.find(p.first);
+      return !view || view->host != p.second;
+    });
+    if (!job->probes.empty()) left.push_back({uid, job->todo()});
+    if (membership_.entitled()) probe(*job);
+  }
+  if (!left.empty() && membership_.entitled()) {
+    router_.broadcast("left", {{"jobs", left}});
+    router_.send(membership_.self(), "left", {{"jobs", left}});
+  }
+  for (const auto& uid : finished) jobs_.erase(uid);
+  const bool rebuilt = std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
+    return j.second->over || j.second->gate == 0 || (j.second->progress_known && registry_.all_known_since(j.second->gate));
+  }) && registry_.all_known_since(membership_.generation().number);
+  budgets_.tick(rebuilt);
+  record_progress();
+  std::erase_if(unknown_since_, [&](const auto& u) { return now - u.second > 60s; });
+}
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/book.hpp
@@ -0,0 +1,130 @@
+#pragma once
+#include <deque>
+#include <unordered_map>
+
+#include "jobs/budgets.hpp"
+#include "jobs/progress.hpp"
+#include "sched/probing.hpp"
+
+namespace limemast::jobs {
+using cluster::OpenJob;
+using cluster::Tag;
+using machines::View;
+
+enum class Phase { Pending, Running, Done, Cancelled };
+const char* name_of(Phase phase);
+
+/// What a user is told of a job.
+struct Status {
+  Phase phase = Phase::Pending;
+  std::uint32_t done = 0;
+  std::uint32_t running = 0;
+  bool deciding = false;  ///< the end is being written: only the state service knows whether it is already
+};
+
+/// Where one handed-out task may be. It ends only by proof that the attempt is not on that machine.
+struct Binding {
+  std::string machine;
+  std::string zone;
+  std::uint64_t tenure = 0;
+  std::uint64_t attempt = 0;
+  Tag deliverer;                 ///< the controller that was told to deliver it
+  bool settled = false;          ///< the deliverer has proved that it arrived
+  std::uint64_t settled_tick = 0;
+  std::uint64_t void_from = 0;   ///< deliverer lost: a report with this mandate settles it
+  bool running = false;
+  net::Time since{};
+  net::Time asked{};
+};
+
+struct Job {
+  OpenJob open;
+  std::vector<bool> done;
+  TaskSet recorded;              ///< done tasks that the state service knows of
+  std::unordered_map<std::uint32_t, Binding> bound;
+  std::deque<std::uint32_t> returned;
+  std::uint32_t cursor = 0;      ///< tasks from here on were never handed out
+  std::uint32_t done_count = 0;
+  std::map<std::string, std::uint32_t> zones;
+  std::uint64_t gate = 0;        ///< hand nothing out before all machines have shown this generation
+  bool progress_known = true;
+  bool dirty = false;
+  std::map<std::string, Tag> probes;           ///< machine -> the controller that queues it
+  std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
+  unsigned failures = 0;
+  net::Time not_before{};
+  std::optional<Phase> ending;   ///< decided, being written
+  bool over = false;             ///< written
+  std::vector<std::function<void(std::optional<Phase>)>> waiting;
+
+  std::uint32_t todo() const { return open.spec.tasks - done_count - static_cast<std::uint32_t>(bound.size()); }
+  bool alive() const { return !ending && !over; }
+};
+
+/// The jobs that this controller owns: it alone hands out their tasks, each to one machine at a time.
+class Book {
+ public:
+  Book(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
+       cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry);
+
+  /// Takes up jobs that are ours by the present generation.
+  void sync();
+  void on_generation();
+  void on_view(const std::string& machine);
+  void on_machine_removed(const std::string& machine);
+  void tick();
+
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+  std::optional<Status> status(const std::string& uid) const;
+  /// `done` gets the final phase once it is written, or nullopt if it could not be decided.
+  void cancel(const std::string& uid, std::function<void(std::optional<Phase>)> done);
+
+  /// The leader's part: may a task of this job go to this machine now, and doing it.
+  bool may_place(const Job& job, const View& view, bool budget = true);
+  /// `evict`: tasks of lower rank there that are ended to make room.
+  bool place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict = {});
+  /// The machine's host knew better than we whether there was room.
+  bool refused_lately(const std::string& machine) const;
+  bool may_hand_out(const Job& job) const;
+
+ private:
+  Job* find(const std::string& uid);
+  void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
+  void unbind(Job& job, std::uint32_t index, bool todo);
+  std::optional<std::uint32_t> next_task(Job& job);
+  void on_exit(Job& job, std::uint32_t index, const wire::TaskReport& t, const std::string& machine);
+  void mark_done(Job& job, std::uint32_t index);
+  void finish(Job& job, Phase phase);
+  void commit(const std::string& uid);
+  void learn_outcome(const std::string& uid);
+  void closed(const std::string& uid, Phase phase);
+  void record_progress();
+  void load_progress();
+  void probe(Job& job);
+  void send_probe(Job& job, const std::string& machine, int stage);
+  std::vector<std::string> eligible(const Job& job) const;
+  void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb);
+  wire::json wall_ms() const;
+
+  void on_pull(const Tag& from, const wire::json& m);
+  void on_settled(const Tag& from, const wire::json& m);
+  void on_rejected(const Tag& from, const wire::json& m);
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  store::Client& client_;
+  cluster::Membership& membership_;
+  cluster::Router& router_;
+  cluster::JobIndex& index_;
+  machines::Registry& registry_;
+  Budgets budgets_;
+  ProgressLog progress_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, std::set<std::pair<std::string, std::uint32_t>>> on_machine_;
+  std::map<std::string, net::Time> unknown_since_;  ///< tasks of jobs that we do not know yet
+  std::map<std::string, net::Time> refused_;
+  std::uint64_t attempts_ = 0;
+  net::Time last_record_{};
+  bool loading_ = false;
+};
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/budgets.cpp
@@ -0,0 +1,136 @@
+#include "jobs/budgets.hpp"
+
+#include <algorithm>
+
+namespace limemast::jobs {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr auto kAskPause = 50ms;
+constexpr double kBoundless = 1e15;
+
+json to_json(const Room& r) { return {r.cpus, r.accelerators}; }
+Room from_json(const json& j) { return {j.at(0).get<double>(), 0, j.at(1).get<double>()}; }
+Room without_ram(const Room& r) { return {r.cpus, 0, r.accelerators}; }
+}  // namespace
+
+Budgets::Budgets(net::Runtime& runtime, const wire::Settings& settings, cluster::Membership& membership, cluster::Router& router)
+    : runtime_(runtime), settings_(settings), membership_(membership), router_(router) {
+  router_.on("budget", [this](auto& from, auto& m) { on_state(from, m); });
+  router_.on("grant", [this](auto& from, auto& m) { on_grant(from, m); });
+}
+
+bool Budgets::limited(const std::string& team) const {
+  auto it = settings_.teams.find(team);
+  return it != settings_.teams.end() && (it->second.cpus_max > 0 || it->second.accelerators_max > 0);
+}
+
+Room Budgets::limit(const std::string& team) const {
+  const auto& t = settings_.teams.at(team);
+  return {t.cpus_max > 0 ? t.cpus_max : kBoundless, 0, t.accelerators_max > 0 ? t.accelerators_max : kBoundless};
+}
+
+bool Budgets::may_use(const std::string& team, const Room& need) {
+  if (!limited(team)) return true;
+  auto& l = local_[team];
+  Room free = l.held;
+  free -= l.used;
+  if (free.fits(without_ram(need))) return true;
+  Room wanted = l.used;
+  wanted += without_ram(need);
+  // Asking for some tasks at once saves a round trip each.
+  for (int i = 0; i < 7; ++i) wanted += without_ram(need);
+  l.wanted.cpus = std::max(l.wanted.cpus, wanted.cpus);
+  l.wanted.accelerators = std::max(l.wanted.accelerators, wanted.accelerators);
+  if (runtime_.now() - last_told_ > kAskPause) tell_leader();
+  return false;
+}
+
+void Budgets::use(const std::string& team, const Room& need) {
+  if (limited(team)) local_[team].used += without_ram(need);
+}
+
+void Budgets::release(const std::string& team, const Room& need) {
+  if (limited(team)) local_[team].used -= without_ram(need);
+}
+
+void Budgets::tell_leader() {
+  last_told_ = runtime_.now();
+  json teams = json::object();
+  for (const auto& [team, l] : local_) teams[team] = {{"held", to_json(l.held)}, {"wanted", to_json(l.wanted)}};
+  router_.send(membership_.generation().leader, "budget",
+               {{"teams", teams}, {"serial", seen_leader_ == membership_.generation().leader ? seen_serial_ : 0}});
+}
+
+void Budgets::tick(bool rebuilt) {
+  if (!membership_.entitled()) return;
+  if (membership_.leads() && rebuilt && !recovered_) {
+    const auto& members = membership_.generation().members;
+    recovered_ = std::all_of(members.begin(), members.end(), [&](const auto& tag) { return table_[tag].known; });
+    if (recovered_) {
+      // What lost owners had handed out is ours by now; their grants end.
+      std::erase_if(table_, [&](const auto& m) { return !membership_.member(m.first); });
+      auto& own = table_[membership_.self()];
+      for (auto& [team, l] : local_) {
+        l.held.cpus = std::max(l.held.cpus, l.used.cpus);
+        l.held.accelerators = std::max(l.held.accelerators, l.used.accelerators);
+        own.granted[team] = l.held;
+      }
+    }
+  }
+  for (auto& [team, l] : local_) {
+    l.held.cpus = std::min(l.held.cpus, std::max(l.used.cpus, l.wanted.cpus));
+    l.held.accelerators = std::min(l.held.accelerators, std::max(l.used.accelerators, l.wanted.accelerators));
+  }
+  tell_leader();
+  for (auto& [team, l] : local_) l.wanted = {};
+}
+
+void Budgets::on_generation() {
+  if (seen_leader_ != membership_.generation().leader) {
+    seen_leader_ = membership_.generation().leader;
+    seen_serial_ = 0;
+    table_.clear();
+  }
+  // A member was lost or has come back: nothing new is granted until all that runs is known again.
+  recovered_ = false;
+}
+
+void Budgets::on_state(const cluster::Tag& from, const json& m) {
+  if (!membership_.leads()) return;
+  auto& member = table_[from];
+  const bool current = !member.known || m.at("serial").get<std::uint64_t>() == member.serial;
+  if (!current) return;
+  bool more = false;
+  for (const auto& [team, state] : m.at("teams").items()) {
+    if (!limited(team)) continue;
+    auto& granted = member.granted[team];
+    granted = from_json(state.at("held"));
+    if (!recovered_) continue;
+    Room free = limit(team);
+    for (const auto& [tag, other] : table_)
+      if (auto it = other.granted.find(team); it != other.granted.end()) free -= it->second;
+    const auto wanted = from_json(state.at("wanted"));
+    const double cpus = std::clamp(wanted.cpus - granted.cpus, 0.0, std::max(0.0, free.cpus));
+    const double acc = std::clamp(wanted.accelerators - granted.accelerators, 0.0, std::max(0.0, free.accelerators));
+    if (cpus <= 0 && acc <= 0) continue;
+    granted.cpus += cpus;
+    granted.accelerators += acc;
+    more = true;
+  }
+  member.known = true;
+  if (!more) return;
+  json teams = json::object();
+  for (const auto& [team, granted] : member.granted) teams[team] = to_json(granted);
+  router_.send(from, "grant", {{"teams", teams}, {"serial", ++member.serial}});
+}
+
+void Budgets::on_grant(const cluster::Tag& from, const json& m) {
+  if (from != membership_.generation().leader) return;
+  const auto serial = m.at("serial").get<std::uint64_t>();
+  if (seen_leader_ == from && serial <= seen_serial_) return;
+  seen_leader_ = from;
+  seen_serial_ = serial;
+  for (const auto& [team, held] : m.at("teams").items()) local_[team].held = from_json(held);
+}
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/budgets.hpp
@@ -0,0 +1,52 @@
+#pragma once
+#include <map>
+
+#include "cluster/router.hpp"
+#include "machines/registry.hpp"
+
+namespace limemast::jobs {
+using machines::Room;
+
+/// Teams' limits, shared out among the owners. The leader grants totals; a holder lowers its own before it says
+/// so, and the leader counts what it granted until then, so that the sum never exceeds a limit.
+class Budgets {
+ public:
+  Budgets(net::Runtime& runtime, const wire::Settings& settings, cluster::Membership& membership, cluster::Router& router);
+
+  /// True if a task of the team may be handed out now; if not, the leader will be asked for more.
+  bool may_use(const std::string& team, const Room& need);
+  void use(const std::string& team, const Room& need);
+  void release(const std::string& team, const Room& need);
+
+  /// Once a second: give back what is not needed, ask for what is. `rebuilt`: all that runs is known here.
+  void tick(bool rebuilt);
+  void on_generation();
+
+ private:
+  struct Local {
+    Room used, held, wanted;
+  };
+  struct Member {
+    std::uint64_t serial = 0;  ///< of the last grant
+    bool known = false;
+    std::map<std::string, Room> granted;
+  };
+  bool limited(const std::string& team) const;
+  Room limit(const std::string& team) const;
+  void tell_leader();
+  void on_state(const cluster::Tag& from, const wire::json& m);
+  void on_grant(const cluster::Tag& from, const wire::json& m);
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  cluster::Membership& membership_;
+  cluster::Router& router_;
+  std::map<std::string, Local> local_;
+  std::uint64_t seen_serial_ = 0;
+  cluster::Tag seen_leader_;
+  net::Time last_told_{};
+  // The leader's table.
+  std::map<cluster::Tag, Member> table_;
+  bool recovered_ = false;
+};
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/frontdesk.cpp
@@ -0,0 +1,188 @@
+#include "jobs/frontdesk.hpp"
+
+#include <algorithm>
+
+namespace limemast::jobs {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr std::size_t kFinalsKept = 20'000;
+constexpr std::size_t kMaxAborts = 500;
+constexpr auto kAbortTimeout = 1500ms;
+constexpr auto kOwnAbortTimeout = 4s;
+constexpr unsigned kAcceptTries = 4;
+constexpr auto kAcceptPause = 100ms;
+constexpr int kRetryAfter = 1;
+
+net::HttpResponse status_of(const std::string& uid, const Status& s, int code = 200) {
+  return {code, json{{"uid", uid}, {"phase", name_of(s.phase)}, {"done", s.done}, {"running", s.running}}.dump(), 0, {}};
+}
+net::HttpResponse error(int code, const std::string& what) {
+  return {code, json{{"error", what}}.dump(), code == 503 ? kRetryAfter : 0, {}};
+}
+}  // namespace
+
+FrontDesk::FrontDesk(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
+                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book)
+    : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router), index_(index),
+      registry_(registry), book_(book) {
+  router_.on("abort", [this](const Tag& from, const json& m) {
+    const auto id = m.at("id").get<std::uint64_t>();
+    book_.cancel(m.at("uid").get<std::string>(), [this, from, id](std::optional<Phase> phase) {
+      router_.send(from, "aborted", {{"id", id}, {"phase", phase ? name_of(*phase) : ""}});
+    });
+  });
+  router_.on("aborted", [this](const Tag&, const json& m) {
+    auto node = aborts_.extract(m.at("id").get<std::uint64_t>());
+    if (node.empty()) return;
+    const auto phase = m.at("phase").get<std::string>();
+    auto& asked = node.mapped();
+    if (phase.empty()) return asked.respond(error(503, "undecided"));
+    asked.respond({200, json{{"uid", asked.uid}, {"phase", phase}}.dump(), 0, {}});
+  });
+}
+
+std::optional<std::string> FrontDesk::never_runs(const wire::JobSpec& s) const {
+  const auto team = settings_.teams.find(s.team);
+  if (team == settings_.teams.end()) return "owner: unknown team";
+  bool fits = false;
+  for (const auto& [name, type] : registry_.types()) fits = fits || (s.allows_type(name) && type.fits(s));
+  if (!fits) return "flavors: a task fits no allowed machine type";
+  const double times = s.service ? s.tasks : 1;
+  const auto& t = team->second;
+  if ((t.cpus_max > 0 && s.cpus * times > t.cpus_max + machines::Room::kSlack) ||
+      (t.accelerators_max > 0 && s.accelerators * times > t.accelerators_max + machines::Room::kSlack))
+    return "owner: more than the team's limit";
+  return std::nullopt;
+}
+
+void FrontDesk::submit(const std::string& body, net::Responder respond) {
+  std::string field;
+  auto spec = wire::parse_submission(json::parse(body, nullptr, false), field);
+  if (!spec) return respond(error(400, field));
+  if (!membership_.entitled() || registry_.types().empty()) return respond(error(503, "not ready"));
+  if (book_.status(spec->uid) || finals_.contains(spec->uid) || index_.find(spec->uid)) {
+    return look_up(spec->uid, [respond, uid = spec->uid](Known known, Status s) {
+      respond(known == Known::Yes ? status_of(uid, s) : error(503, "undecided"));
+    });
+  }
+  if (auto why = never_runs(*spec)) return respond(error(422, *why));
+  // What the state service cannot take at present is turned away at once, with the time to come back.
+  if (client_.crowded()) return respond(error(503, "busy"));
+  if (spec->types) {
+    // Only types that exist: a long list of others would not fit into a value of the state service.
+    std::erase_if(*spec->types, [&](const std::string& t) { return !registry_.type(t); });
+  }
+  accept(*spec, kAcceptTries, std::move(respond));
+}
+
+void FrontDesk::accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond) {
+  if (!membership_.entitled() || tries == 0) return respond(error(503, "busy"));
+  const bool is_long = spec.service || spec.estimate > settings_.tuning.long_threshold;
+  auto when = membership_.fences();
+  when.push_back({cluster::keys::open_job(spec.uid), 0});
+  when.push_back({cluster::keys::final_job(spec.uid), 0});
+  const auto record =
+      cluster::JobIndex::record(spec, membership_.self(), membership_.generation().number, is_long, runtime_.wall());
+  client_.txn(store::Priority::User, when, {{cluster::keys::open_job(spec.uid), record, 0}},
+              [this, spec, tries, respond = std::move(respond)](store::TxnResult r) mutable {
+                if (r.verdict == store::Verdict::Ok) return respond(status_of(spec.uid, {}, 201));
+                if (r.verdict != store::Verdict::Conflict) return respond(error(503, "state service"));
+                const bool known = std::any_of(r.failed.begin(), r.failed.end(), [&](const std::string& key) {
+                  return key == cluster::keys::open_job(spec.uid) || key == cluster::keys::final_job(spec.uid);
+                });
+                if (known)
+                  return look_up(spec.uid, [respond, uid = spec.uid](Known k, Status s) {
+                    respond(k == Known::Yes ? status_of(uid, s) : error(503, "undecided"));
+                  });
+                // The generation has changed under us: once more with the new one.
+                runtime_.after(kAcceptPause, [this, spec, tries, respond = std::move(respond)]() mutable {
+                  accept(spec, tries - 1, std::move(respond));
+                });
+              });
+}
+
+Status FrontDesk::open_status(const std::string& uid) const {
+  Status s;
+  for (const auto& [name, view] : registry_.views())
+    for (const auto& t : view.report.tasks)
+      if (t.uid == uid && t.phase == wire::TaskPhase::Running) ++s.running;
+  s.phase = s.running > 0 ? Phase::Running : Phase::Pending;
+  return s;
+}
+
+void FrontDesk::remember(const std::string& uid, const Status& status) {
+  if (finals_.size() >= kFinalsKept) finals_.erase(finals_.begin());
+  finals_[uid] = status;
+}
+
+void FrontDesk::look_up(const std::string& uid, std::function<void(Known, Status)> done) {
+  if (auto it = finals_.find(uid); it != finals_.end()) return done(Known::Yes, it->second);
+  // While the end is being written, others may read and tell it before we hear that it was: ask the service too.
+  if (auto status = book_.status(uid); status && !status->deciding) {
+    const bool final = status->phase == Phase::Done || status->phase == Phase::Cancelled;
+    if (final) remember(uid, *status);
+    // Without a grant somebody else may own the job by now: only what can never change may be told.
+    if (final || membership_.entitled()) return done(Known::Yes, *status);
+    return done(Known::Unclear, {});
+  }
+  // Never from the mirror, which may lag behind what another controller has told: the service itself decides. A job
+  // moves from its open to its final record in one transaction, hence the second look at the final one.
+  auto final_record = [this, uid](std::function<void(Known, Status)> done, std::function<void()> otherwise) {
+    client_.get(store::Priority::User, cluster::keys::final_job(uid), [this, uid, done, otherwise](store::GetResult g) {
+      if (!g.answered) return done(Known::Unclear, {});
+      if (!g.found) return otherwise();
+      Status s;
+      s.phase = g.value.value("phase", "") == "done" ? Phase::Done : Phase::Cancelled;
+      if (s.phase == Phase::Done) s.done = g.value.value("tasks", 0u);
+      remember(uid, s);
+      done(Known::Yes, s);
+    });
+  };
+  auto open_record = [this, uid](std::function<void(Known, Status)> done, std::function<void()> otherwise) {
+    client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid, done, otherwise](store::GetResult g) {
+      if (!g.answered) return done(Known::Unclear, {});
+      if (!g.found) return otherwise();
+      done(Known::Yes, open_status(uid));
+    });
+  };
+  if (client_.crowded()) return done(Known::Unclear, {});
+  const auto* open = index_.find(uid);
+  if (open && !open->ended)
+    return open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
+  final_record(done, [final_record, open_record, done] {
+    open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
+  });
+}
+
+void FrontDesk::query(const std::string& uid, net::Responder respond) {
+  if (!wire::valid_job_id(uid)) return respond(error(404, "no such job"));
+  look_up(uid, [respond, uid](Known known, Status s) {
+    if (known == Known::Yes) return respond(status_of(uid, s));
+    respond(known == Known::No ? error(404, "no such job") : error(503, "undecided"));
+  });
+}
+
+void FrontDesk::abort(const std::string& uid, net::Responder respond) {
+  if (!wire::valid_job_id(uid)) return respond(error(404, "no such job"));
+  const auto own = book_.status(uid);
+  const auto* open = index_.find(uid);
+  const auto owner = index_.owner_of(uid);
+  if ((own || (open && !open->ended)) && aborts_.size() < kMaxAborts && membership_.entitled()) {
+    if (!own && owner == membership_.self()) return respond(error(503, "being taken over"));
+    const auto id = next_abort_++;
+    aborts_[id] = {respond, uid};
+    router_.send(own ? membership_.self() : owner, "abort", {{"id", id}, {"uid", uid}});
+    runtime_.after(own ? net::Duration(kOwnAbortTimeout) : net::Duration(kAbortTimeout), [this, id] {
+      if (auto node = aborts_.extract(id); !node.empty()) node.mapped().respond(error(503, "undecided"));
+    });
+    return;
+  }
+  look_up(uid, [respond, uid](Known known, Status s) {
+    if (known == Known::No) return respond(error(404, "no such job"));
+    if (known == Known::Yes && (s.phase == Phase::Done || s.phase == Phase::Cancelled))
+      return respond({200, json{{"uid", uid}, {"phase", name_of(s.phase)}}.dump(), 0, {}});
+    respond(error(503, "undecided"));
+  });
+}
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/frontdesk.hpp
@@ -0,0 +1,38 @@
+#pragma once
+#include "jobs/book.hpp"
+
+namespace limemast::jobs {
+/// The users' interface: submissions, queries, cancellations. Any controller takes any of them.
+class FrontDesk {
+ public:
+  FrontDesk(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
+            cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book);
+  void submit(const std::string& body, net::Responder respond);
+  void query(const std::string& uid, net::Responder respond);
+  void abort(const std::string& uid, net::Responder respond);
+
+ private:
+  enum class Known { Yes, No, Unclear };
+  void look_up(const std::string& uid, std::function<void(Known, Status)> done);
+  void accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond);
+  Status open_status(const std::string& uid) const;
+  void remember(const std::string& uid, const Status& status);
+  std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  store::Client& client_;
+  cluster::Membership& membership_;
+  cluster::Router& router_;
+  cluster::JobIndex& index_;
+  machines::Registry& registry_;
+  Book& book_;
+  std::unordered_map<std::string, Status> finals_;
+  struct Asked {
+    net::Responder respond;
+    std::string uid;
+  };
+  std::map<std::uint64_t, Asked> aborts_;
+  std::uint64_t next_abort_ = 1;
+};
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/progress.hpp
@@ -0,0 +1,54 @@
+#pragma once
+#include <map>
+
+#include "cluster/membership.hpp"
+
+namespace limemast::jobs {
+/// One flag per task, kept and written in pieces, so that the largest arrays fit into the service's values.
+class TaskSet {
+ public:
+  static constexpr std::uint32_t kPiece = 8192;
+  explicit TaskSet(std::uint32_t size = 0) : bits_((size + 7) / 8) {}
+  bool test(std::uint32_t i) const { return bits_[i / 8] >> (i % 8) & 1; }
+  void set(std::uint32_t i) { bits_[i / 8] = static_cast<std::uint8_t>(bits_[i / 8] | 1u << (i % 8)); }
+  std::uint32_t pieces() const { return static_cast<std::uint32_t>((bits_.size() * 8 + kPiece - 1) / kPiece); }
+  std::string piece_hex(std::uint32_t piece) const;
+  /// False if the text is not a piece of this set.
+  bool merge_hex(std::uint32_t piece, const std::string& hex);
+
+ private:
+  std::vector<std::uint8_t> bits_;
+};
+
+struct ProgressPiece {
+  std::string uid;
+  std::uint32_t piece = 0;
+  std::string hex;
+};
+
+/// Writes what an owner's jobs have done, in as few records as the value size allows, and reads what others left.
+class ProgressLog {
+ public:
+  ProgressLog(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership);
+  /// Writes the records that changed; `done(true)` once all pieces given are stored.
+  void write(const std::vector<ProgressPiece>& pieces, std::function<void(bool)> done);
+  /// Reads all owners' records, retrying until the service answers.
+  void read(std::function<void(std::vector<ProgressPiece>)> done);
+  bool busy() const { return busy_; }
+  /// Records of owners that are no more; what they held must have been written anew before.
+  void remove_strangers();
+
+ private:
+  void read_page(const std::string& from, std::vector<ProgressPiece> sofar, std::set<std::string> keys,
+                 std::function<void(std::vector<ProgressPiece>)> done);
+  std::string key(std::size_t n) const;
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  store::Client& client_;
+  cluster::Membership& membership_;
+  std::vector<std::string> stored_;  ///< our records as they stand in the service
+  std::set<std::string> strangers_;
+  bool busy_ = false;
+};
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/machines/host.cpp
@@ -0,0 +1,537 @@
+#include "machines/host.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace limemast::machines {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr auto kPullPatience = 40ms;
+constexpr auto kPullTimeout = 1s;
+constexpr auto kFlushDelay = 3ms;
+constexpr auto kDirectTimeout = 2s;
+constexpr auto kDirectPause = 10s;
+constexpr auto kNotNow = 1s;
+/// Orders between controllers that are older than this are refused: a held link may let them out minutes late.
+constexpr auto kOrderAge = 8s;
+constexpr auto kRefusedKept = 120s;
+}  // namespace
+
+Host::Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
+           cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen)
+    : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror), membership_(membership), router_(router),
+      jobs_(jobs), registry_(registry), seen_(std::move(seen)) {
+  router_.on("report", [this](const cluster::Tag& from, const json& m) {
+    if (auto report = wire::parse_report(m.at("report"))) take_report(*report, from, m.at("hello").get<bool>());
+  });
+  router_.on("probe", [this](auto& from, auto& m) { on_probe(from, m); });
+  router_.on("run", [this](auto& from, auto& m) { on_run(from, m); });
+  router_.on("none", [this](auto& from, auto& m) { on_none(from, m); });
+  router_.on("order", [this](auto& from, auto& m) { on_order(from, m); });
+  router_.on("query", [this](auto& from, auto& m) { on_query(from, m); });
+  router_.on("fence", [this](auto&, auto& m) {
+    const auto machine = m.at("machine").template get<std::string>();
+    if (!ours(machine)) return;
+    auto& h = hosted(machine);
+    h.fence = std::max(h.fence, m.at("mandate").template get<std::uint64_t>());
+  });
+  router_.on("left", [this](auto&, auto& m) {
+    for (const auto& entry : m.at("jobs"))
+      for (auto& [name, h] : hosted_)
+        h.probes.set_remaining(entry.at(0).template get<std::string>(), entry.at(1).template get<std::uint32_t>());
+  });
+}
+
+Host::Hosted& Host::hosted(const std::string& machine) {
+  return hosted_.try_emplace(machine, settings_.tuning.bypass_cap).first->second;
+}
+
+bool Host::ours(const std::string& machine) const {
+  const auto* view = registry_.find(machine);
+  return view && view->host == membership_.self();
+}
+
+json Host::stamp_now() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.wall().time_since_epoch()).count();
+}
+
+bool Host::fresh(const json& m) const {
+  const auto age = runtime_.wall() - net::WallTime(std::chrono::milliseconds(m.at("at").get<std::int64_t>()));
+  return age < kOrderAge + 2 * net::to_duration(settings_.skew);
+}
+
+bool Host::usable(const std::string& machine, const View& view) const {
+  return membership_.entitled() && registry_.registered(machine) && !registry_.closed(machine) && !view.report.notice;
+}
+
+void Host::hello(const wire::Report& report, net::Responder respond) {
+  const auto generation = membership_.generation().number;
+  // Without entitlement we must not answer 200, and a mandate of a generation that we have not read means that we
+  // are behind: a 200 that the worker has to drop would let its lease run out here.
+  if (!membership_.entitled() || cluster::generation_of(report.mandate) > generation || registry_.gone(report.machine))
+    return respond({503, R"({"error":"not entitled"})", 0, {}});
+  const auto* view = registry_.find(report.machine);
+  if (view && !report.newer_than(view->report)) {
+    // Older than what a direct command's answer has shown meanwhile: it renews the lease and carries no orders.
+    if (view->host != membership_.self()) return respond({503, R"({"error":"late report"})", 0, {}});
+    return respond({200, wire::orders_body(mandate_for(hosted(report.machine), *view), {}).dump(), 0, {}});
+  }
+  const bool moved = !view || view->host != membership_.self() || !hosted_.contains(report.machine);
+  auto& h = hosted(report.machine);
+  if (moved) {
+    // Orders that another controller sent straight to this machine may still be under way. Raising its mandate
+    // voids them; until a report shows it, nothing is cleared here.
+    h.clean_from = std::max({h.clean_from, report.mandate + 1, cluster::mandate_base(generation)});
+    h.fence = std::max(h.fence, h.clean_from);
+    spdlog::debug("machine {} now reports here, generation {}", report.machine, generation);
+  }
+  if (h.respond) h.respond({503, {}, 0, {}});
+  h.respond = std::move(respond);
+  h.answering_tick = report.tick;
+  const auto serial = ++h.answer_serial;
+  if (!registry_.registered(report.machine)) register_machine(report.machine, report);
+  router_.broadcast("report", {{"report", wire::to_json(report)}, {"hello", true}});
+  take_report(report, membership_.self(), true);
+  pump(report.machine);
+  // The owners' orders are posted; the answer leaves after them, or when the pull under way is answered.
+  const auto machine = report.machine;
+  auto later = [this, machine, serial] {
+    if (auto it = hosted_.find(machine); it != hosted_.end() && it->second.answer_serial == serial) answer(machine);
+  };
+  runtime_.after(kPullPatience, later);
+  runtime_.post([this, later, machine] {
+    runtime_.post([this, later, machine] {
+      runtime_.post([this, later, machine] {
+        auto it = hosted_.find(machine);
+        if (it != hosted_.end() && !it->second.pull) later();
+      });
+    });
+  });
+}
+
+void Host::take_report(const wire::Report& report, const cluster::Tag& host, bool hello) {
+  if (!registry_.update(report, host, runtime_.now())) return;
+  const auto machine = report.machine;
+  settle(machine, hello);
+  if (host != membership_.self()) {
+    // Another controller hears this machine now: its probes go, what was not sent yet never will be.
+    if (auto it = hosted_.find(machine); it != hosted_.end()) {
+      auto& h = it->second;
+      drop_probes(machine, h);
+      h.outbox.clear();
+      std::erase_if(h.deliveries, [&](const Delivery& d) {
+        if (d.path != Path::Queued) return false;
+        tell_settled(machine, d, false);
+        return true;
+      });
+      if (h.deliveries.empty() && !h.direct_busy && !h.respond) hosted_.erase(it);
+    }
+  } else {
+    auto& h = hosted(machine);
+    const auto* view = registry_.find(machine);
+    stray_tasks(machine, h, *view);
+    if (registry_.closed(machine) || view->report.notice) drop_probes(machine, h);
+  }
+  runtime_.post([this, machine] { seen_(machine); });
+}
+
+void Host::settle(const std::string& machine, bool hello) {
+  auto it = hosted_.find(machine);
+  const auto* view = registry_.find(machine);
+  if (it == hosted_.end() || !view) return;
+  const auto& r = view->report;
+  std::erase_if(it->second.deliveries, [&](const Delivery& d) {
+    if (r.tenure > d.tenure) return tell_settled(machine, d, false), true;
+    const bool present = r.find(d.order.uid, d.order.index, d.order.attempt) != nullptr;
+    switch (d.path) {
+      case Path::Queued:
+        return false;
+      case Path::Response:
+        // One report is in flight at a time and its answer is dropped after 4 s: a later *report* (a direct
+        // command's body is none) without the task proves that it can never start.
+        if (!hello || r.tick <= d.tick) return false;
+        break;
+      case Path::Direct:
+        if (!(d.answered && present) && r.mandate <= d.mandate) return false;
+        break;
+    }
+    return tell_settled(machine, d, present), true;
+  });
+}
+
+void Host::tell_settled(const std::string& machine, const Delivery& d, bool present) {
+  const auto* view = registry_.find(machine);
+  router_.send(d.owner, "settled",
+               {{"machine", machine}, {"uid", d.order.uid}, {"index", d.order.index}, {"attempt", d.order.attempt},
+                {"present", present}, {"tenure", view ? view->report.tenure : 0}, {"tick", view ? view->report.tick : 0}});
+}
+
+void Host::stray_tasks(const std::string& machine, Hosted& h, const View& view) {
+  // Jobs that have ended need no owner: whoever hears the machine ends what is left of them, so that a controller
+  // cut off from its peers alone still carries out cancellations.
+  for (const auto& t : view.report.tasks) {
+    const auto* job = jobs_.find(t.uid);
+    if (!job || !job->ended) continue;
+    if (!t.exited()) {
+      h.outbox.push_back({wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
+    } else if (view.report.mandate >= h.clean_from &&
+               std::none_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) {
+                 return d.order.uid == t.uid && d.order.index == t.index && d.order.attempt == t.attempt;
+               })) {
+      h.outbox.push_back({wire::Verb::Clear, t.uid, t.index, t.attempt, wire::Seconds(0)});
+    }
+  }
+  std::erase_if(h.deliveries, [&](const Delivery& d) {
+    const auto* job = jobs_.find(d.order.uid);
+    if (d.path != Path::Queued || !job || !job->ended) return false;
+    tell_settled(machine, d, false);
+    return true;
+  });
+}
+
+std::uint64_t Host::mandate_for(const Hosted& h, const View& view) const {
+  return std::max({cluster::mandate_base(membership_.generation().number), h.fence, view.report.mandate});
+}
+
+void Host::answer(const std::string& machine) {
+  auto& h = hosted(machine);
+  if (!h.respond) return;
+  auto respond = std::move(h.respond);
+  h.respond = nullptr;
+  const auto* view = registry_.find(machine);
+  if (!view || !membership_.entitled() || view->host != membership_.self()) return respond({503, {}, 0, {}});
+  std::vector<wire::Order> orders;
+  // A direct command under way carries the same orders' elder siblings: theirs are not sent twice at once.
+  if (registry_.registered(machine) && !h.direct_busy) {
+    orders.assign(h.outbox.begin(), h.outbox.end());
+    h.outbox.clear();
+    for (auto& d : h.deliveries) {
+      if (d.path != Path::Queued || d.tenure != view->report.tenure) continue;
+      d.path = Path::Response;
+      d.tick = h.answering_tick;
+      orders.push_back(d.order);
+    }
+  }
+  h.answered = runtime_.now();
+  respond({200, wire::orders_body(mandate_for(h, *view), orders).dump(), 0, {}});
+}
+
+void Host::register_machine(const std::string& machine, const wire::Report& report) {
+  auto& h = hosted(machine);
+  if (h.registering) return;
+  h.registering = true;
+  // Before its first command a machine is written down, in this generation: a later leader that reads the list
+  // misses none that may run something.
+  auto when = membership_.fences();
+  when.push_back({cluster::keys::machine(machine), 0});
+  const json value{{"type", report.type}, {"zone", report.zone}, {"spot", report.spot}};
+  client_.txn(store::Priority::User, when, {{cluster::keys::machine(machine), value}}, [this, machine](store::TxnResult) {
+    // The mirror shows whether it worked; a machine that is still not registered tries again with its next report.
+    runtime_.after(1s, [this, machine] {
+      if (auto it = hosted_.find(machine); it != hosted_.end()) it->second.registering = false;
+    });
+  });
+}
+
+Room Host::room(const std::string& machine, const Hosted& h) const {
+  const auto* view = registry_.find(machine);
+  if (!view) return {};
+  Room room = registry_.reported_room(*view);
+  for (const auto& d : h.deliveries) {
+    const auto* t = view->report.find(d.order.uid, d.order.index, d.order.attempt);
+    if (!t) room -= d.need;
+  }
+  if (h.pull) room -= h.pull->need;
+  return room;
+}
+
+void Host::pump(const std::string& machine) {
+  const auto* view = registry_.find(machine);
+  auto it = hosted_.find(machine);
+  if (!view || it == hosted_.end() || view->host != membership_.self() || !usable(machine, *view)) return;
+  auto& h = it->second;
+  const auto now = runtime_.now();
+  if (h.pull && now - h.pull->since > kPullTimeout) h.pull.reset();
+  if (h.pull || h.probes.empty()) return;
+  const auto free = room(machine, h);
+  const auto* probe = h.probes.choose(now, [&](const sched::Probe& p) { return free.fits({p.cpus, p.ram_gb, p.accelerators}); });
+  if (!probe) return;
+  h.pull = Pull{probe->uid, now, {probe->cpus, probe->ram_gb, probe->accelerators}};
+  router_.send(probe->owner, "pull", {{"uid", probe->uid}, {"machine", machine}, {"tenure", view->report.tenure}, {"at", stamp_now()}});
+}
+
+void Host::on_probe(const cluster::Tag& from, const json& m) {
+  const auto machine = m.at("machine").get<std::string>();
+  const auto uid = m.at("uid").get<std::string>();
+  const auto stage = m.at("stage").get<int>();
+  const auto* view = registry_.find(machine);
+  auto refuse = [&](bool for_long) {
+    const auto& map = registry_.long_map();
+    router_.send(from, "rejected",
+                 {{"uid", uid}, {"machine", machine}, {"stage", stage}, {"long", for_long}, {"generation", map.generation},
+                  {"serial", map.serial}, {"map", map.with_long}, {"short_part", map.short_part}});
+  };
+  if (!view || view->host != membership_.self() || !usable(machine, *view)) return refuse(false);
+  const auto& h = hosted(machine);
+  const bool long_coming = std::any_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) {
+    const auto* job = jobs_.find(d.order.uid);
+    return job && job->is_long;
+  });
+  if (long_coming || registry_.holds_long(*view)) return refuse(true);
+  sched::Probe probe;
+  probe.uid = uid;
+  probe.owner = from;
+  probe.estimate = wire::Seconds(m.at("estimate").get<double>());
+  probe.remaining = m.at("left").get<std::uint32_t>();
+  probe.cpus = m.at("cpus").get<double>();
+  probe.ram_gb = m.at("ram").get<double>();
+  probe.accelerators = m.at("acc").get<double>();
+  if (!hosted(machine).probes.add(std::move(probe))) return refuse(false);
+  pump(machine);
+}
+
+void Host::drop_probes(const std::string& machine, Hosted& h) {
+  for (const auto& p : h.probes.all()) router_.send(p.owner, "dropped", {{"uid", p.uid}, {"machine", machine}});
+  h.probes = sched::ProbeQueue(settings_.tuning.bypass_cap);
+  h.pull.reset();
+}
+
+/// A task to be started: the answer to a pull, or the leader's placement of a long one.
+void Host::on_run(const cluster::Tag& from, const json& m) {
+  const auto machine = m.at("machine").get<std::string>();
+  Delivery d;
+  d.order = {wire::Verb::Run, m.at("uid").get<std::string>(), m.at("index").get<std::uint32_t>(),
+             m.at("attempt").get<std::uint64_t>(), wire::Seconds(0)};
+  d.owner = from;
+  d.tenure = m.at("tenure").get<std::uint64_t>();
+  d.need = {m.at("cpus").get<double>(), m.at("ram").get<double>(), m.at("acc").get<double>()};
+  const bool pulled = m.at("pulled").get<bool>();
+  const auto* view = registry_.find(machine);
+  auto it = hosted_.find(machine);
+  if (pulled && it != hosted_.end()) {
+    auto& h = it->second;
+    const auto free = room(machine, h);
+    if (h.pull && h.pull->uid == d.order.uid) h.pull.reset();
+    if (const auto* p = h.probes.find(d.order.uid)) {
+      h.probes.took(d.order.uid, runtime_.now(), [&](const sched::Probe& q) { return free.fits({q.cpus, q.ram_gb, q.accelerators}); });
+      h.probes.set_remaining(d.order.uid, p->remaining > 0 ? p->remaining - 1 : 0);
+    }
+  }
+  std::vector<wire::Order> evictions;
+  Room extra;
+  for (const auto& entry : m.at("evict")) {
+    const auto order = wire::parse_order(entry);
+    const auto* victim = order ? jobs_.find(order->uid) : nullptr;
+    const auto* t = victim && view ? view->report.find(order->uid, order->index, order->attempt) : nullptr;
+    if (!t || t->exited()) continue;
+    evictions.push_back(*order);
+    extra += Room::of(victim->spec);
+  }
+  auto has_room = [&](const Hosted& h) {
+    Room free = room(machine, h);
+    free += extra;
+    return free.fits(d.need);
+  };
+  const auto* job = jobs_.find(d.order.uid);
+  const bool good = it != hosted_.end() && view && view->host == membership_.self() && usable(machine, *view) &&
+                    view->report.tenure == d.tenure && !(job && job->ended) && fresh(m) &&
+                    !refused_.contains({d.order.uid, d.order.attempt}) && has_room(it->second);
+  if (!good) {
+    refused_[{d.order.uid, d.order.attempt}] = runtime_.now();
+    tell_settled(machine, d, false);
+    return;
+  }
+  auto& h = it->second;
+  // Orders are executed in turn, kills before runs: the room is there when the run is reached.
+  h.outbox.insert(h.outbox.end(), evictions.begin(), evictions.end());
+  h.deliveries.push_back(std::move(d));
+  pump(machine);
+  if (h.respond && !h.pull)
+    answer(machine);
+  else
+    flush_soon(machine);
+}
+
+void Host::on_none(const cluster::Tag&, const json& m) {
+  const auto machine = m.at("machine").get<std::string>();
+  const auto uid = m.at("uid").get<std::string>();
+  auto it = hosted_.find(machine);
+  if (it == hosted_.end()) return;
+  auto& h = it->second;
+  if (h.pull && h.pull->uid == uid) h.pull.reset();
+  if (m.at("over").get<bool>())
+    h.probes.remove(uid);
+  else
+    h.probes.postpone(uid, runtime_.now() + kNotNow);
+  pump(machine);
+  if (!h.pull && h.respond) answer(machine);
+}
+
+void Host::on_order(const cluster::Tag& from, const json& m) {
+  const auto machine = m.at("machine").get<std::string>();
+  if (!ours(machine) || !fresh(m)) return;
+  auto order = wire::parse_order(m.at("order"));
+  if (!order || order->verb == wire::Verb::Run) return;
+  auto& h = hosted(machine);
+  const auto* view = registry_.find(machine);
+  const auto same = [&](const wire::Order& o) { return o.uid == order->uid && o.index == order->index && o.attempt == order->attempt; };
+  if (order->verb == wire::Verb::Clear) {
+    // After a clear, a late `run` of the same attempt would start it again: none may be under way.
+    if (view->report.mandate < h.clean_from ||
+        std::any_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) { return same(d.order); }))
+      return;
+  } else {
+    std::erase_if(h.deliveries, [&](const Delivery& d) {
+      if (d.path != Path::Queued || d.owner != from || !same(d.order)) return false;
+      tell_settled(machine, d, false);
+      return true;
+    });
+  }
+  if (std::any_of(h.outbox.begin(), h.outbox.end(), [&](const wire::Order& o) { return same(o) && o.verb == order->verb; })) return;
+  h.outbox.push_back(*order);
+  if (order->verb == wire::Verb::Kill) flush_soon(machine);
+}
+
+void Host::on_query(const cluster::Tag& from, const json& m) {
+  const auto machine = m.at("machine").get<std::string>();
+  Delivery d;
+  d.order = {wire::Verb::Run, m.at("uid").get<std::string>(), m.at("index").get<std::uint32_t>(),
+             m.at("attempt").get<std::uint64_t>(), wire::Seconds(0)};
+  d.owner = from;
+  if (auto it = hosted_.find(machine); it != hosted_.end()) {
+    const bool pending = std::any_of(it->second.deliveries.begin(), it->second.deliveries.end(), [&](const Delivery& x) {
+      return x.order.uid == d.order.uid && x.order.index == d.order.index && x.order.attempt == d.order.attempt;
+    });
+    if (pending) return;
+  }
+  const auto* view = registry_.find(machine);
+  const bool present = view && view->report.tenure == m.at("tenure").get<std::uint64_t>() &&
+                       view->report.find(d.order.uid, d.order.index, d.order.attempt);
+  // The order may still be on its way to us: once we have said that it never came, it must not be carried out.
+  if (!present) refused_[{d.order.uid, d.order.attempt}] = runtime_.now();
+  tell_settled(machine, d, present);
+}
+
+void Host::flush_soon(const std::string& machine) {
+  auto& h = hosted(machine);
+  if (h.flush_armed || h.respond) return;  // a report that waits for its answer takes it along
+  h.flush_armed = true;
+  runtime_.after(kFlushDelay, [this, machine] {
+    if (auto it = hosted_.find(machine); it != hosted_.end()) {
+      it->second.flush_armed = false;
+      flush_direct(machine);
+    }
+  });
+}
+
+void Host::flush_direct(const std::string& machine) {
+  auto& h = hosted(machine);
+  const auto* view = registry_.find(machine);
+  const auto now = runtime_.now();
+  // Only to a machine that was heard just now: one that hangs would carry the order out whenever it goes on.
+  const auto recent = net::to_duration(settings_.report * 1.25) + 1s;
+  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy ||
+      h.respond || now < h.direct_bad_until || now - view->heard > recent)
+    return;
+  std::vector<wire::Order> orders(h.outbox.begin(), h.outbox.end());
+  const auto mandate = mandate_for(h, *view);
+  for (auto& d : h.deliveries) {
+    if (d.path != Path::Queued || d.tenure != view->report.tenure) continue;
+    d.path = Path::Direct;
+    d.mandate = mandate;
+    d.answered = false;
+    orders.push_back(d.order);
+  }
+  if (orders.empty()) return;
+  h.outbox.clear();
+  h.direct_busy = true;
+  auto body = wire::orders_body(mandate, orders);
+  body["tenure"] = view->report.tenure;
+  runtime_.http(view->report.address, {"POST", "/orders", body.dump()}, kDirectTimeout,
+                [this, machine, mandate, orders](net::HttpResult r) { on_direct(machine, mandate, orders, std::move(r)); });
+}
+
+void Host::on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result) {
+  auto it = hosted_.find(machine);
+  if (it == hosted_.end()) return;
+  auto& h = it->second;
+  h.direct_busy = false;
+  auto is_sent = [&](const Delivery& d) {
+    return d.path == Path::Direct && d.mandate == mandate &&
+           std::any_of(sent.begin(), sent.end(), [&](const wire::Order& o) {
+             return o.uid == d.order.uid && o.index == d.order.index && o.attempt == d.order.attempt;
+           });
+  };
+  const auto body = wire::json::parse(result.body, nullptr, false);
+  const auto report = body.is_object() ? wire::parse_report(body) : std::nullopt;
+  if (result.status == 200) {
+    for (auto& d : h.deliveries)
+      if (is_sent(d)) d.answered = true;
+  } else if (result.status == 409 || (result.status == 0 && !result.maybe_sent) || result.status == 400) {
+    // Not executed, and never will be.
+    std::erase_if(h.deliveries, [&](const Delivery& d) {
+      if (!is_sent(d)) return false;
+      tell_settled(machine, d, false);
+      return true;
+    });
+    h.direct_bad_until = runtime_.now() + kDirectPause;
+  } else {
+    // It may yet be executed, minutes from now: only a higher mandate on the machine rules that out.
+    h.direct_bad_until = runtime_.now() + kDirectPause;
+    if (std::any_of(h.deliveries.begin(), h.deliveries.end(), is_sent)) {
+      h.fence = std::max(h.fence, mandate + 1);
+      router_.broadcast("fence", {{"machine", machine}, {"mandate", mandate + 1}});
+      spdlog::info("machine {} did not answer a direct order, generation {}: raising its mandate", machine,
+                   membership_.generation().number);
+    }
+  }
+  if (report && report->machine == machine && !registry_.gone(machine)) {
+    // The view stays with whoever hears the machine's reports; this body only shows what is on it.
+    const auto* view = registry_.find(machine);
+    if (view && view->host == membership_.self()) {
+      router_.broadcast("report", {{"report", body}, {"hello", false}});
+      take_report(*report, membership_.self(), false);
+    }
+  }
+  if (ours(machine)) {
+    pump(machine);
+    if (!h.outbox.empty()) flush_soon(machine);
+  }
+}
+
+void Host::on_generation() {
+  for (auto& [machine, h] : hosted_) {
+    // Runs that a lost owner asked for and that have not left us are dropped: its jobs' new owner knows nothing of
+    // them and counts on every mandate of the new generation to prove what is where.
+    std::erase_if(h.deliveries, [&](const Delivery& d) { return d.path == Path::Queued && !membership_.member(d.owner); });
+    for (const auto& p : std::list<sched::Probe>(h.probes.all()))
+      if (!membership_.member(p.owner)) h.probes.remove(p.uid);
+    if (h.pull && !h.probes.find(h.pull->uid)) h.pull.reset();
+  }
+  const auto limit = runtime_.now() - kRefusedKept;
+  std::erase_if(refused_, [&](const auto& r) { return r.second < limit; });
+}
+
+void Host::on_machine_removed(const std::string& machine) {
+  auto it = hosted_.find(machine);
+  if (it == hosted_.end()) return;
+  drop_probes(machine, it->second);
+  if (it->second.respond) it->second.respond({503, {}, 0, {}});
+  hosted_.erase(it);
+}
+
+void Host::on_job_ended(const std::string& uid) {
+  for (auto& [machine, h] : hosted_) {
+    h.probes.remove(uid);
+    if (h.pull && h.pull->uid == uid) h.pull.reset();
+    const auto* view = registry_.find(machine);
+    if (!view || view->host != membership_.self()) continue;
+    const auto before = h.outbox.size();
+    for (const auto& t : view->report.tasks)
+      if (t.uid == uid && !t.exited()) h.outbox.push_back({wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
+    if (h.outbox.size() != before) flush_soon(machine);
+  }
+}
+}  // namespace limemast::machines
--- /dev/null
+++ b/src/machines/host.hpp
@@ -0,0 +1,98 @@
+#pragma once
+#include <deque>
+
+#include "cluster/router.hpp"
+#include "machines/registry.hpp"
+#include "sched/probe_queue.hpp"
+
+namespace limemast::machines {
+/// Speaks to the machines that report here: answers them, keeps their probe queues, delivers commands, and
+/// proves for every `run` it was given whether it reached its machine.
+class Host {
+ public:
+  /// Called after each newer report of any machine, whoever heard it.
+  using Seen = std::function<void(const std::string& machine)>;
+  Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
+       cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen);
+
+  /// POST /hello
+  void hello(const wire::Report& report, net::Responder respond);
+  void on_generation();
+  void on_machine_removed(const std::string& machine);
+  void on_job_ended(const std::string& uid);
+
+ private:
+  enum class Path { Queued, Response, Direct };
+  /// One `run` on its way. It is forgotten only when a report proves where the task is.
+  struct Delivery {
+    wire::Order order;
+    cluster::Tag owner;
+    std::uint64_t tenure = 0;
+    Path path = Path::Queued;
+    std::uint64_t tick = 0;     ///< Response: the report that was answered with it
+    std::uint64_t mandate = 0;  ///< Direct: the mandate it was sent under
+    bool answered = false;      ///< Direct: the worker has executed it
+    Room need;
+  };
+  struct Pull {
+    std::string uid;
+    net::Time since{};
+    Room need;
+  };
+  struct Hosted {
+    std::deque<wire::Order> outbox;  ///< kills and clears
+    std::vector<Delivery> deliveries;
+    sched::ProbeQueue probes;
+    std::optional<Pull> pull;
+    std::uint64_t fence = 0;      ///< the lowest mandate that answers may carry
+    std::uint64_t clean_from = 0; ///< orders of earlier hosts are void once a report shows this mandate
+    net::Responder respond;       ///< the report that waits for its answer
+    std::uint64_t answering_tick = 0;
+    std::uint64_t answer_serial = 0;
+    net::Time answered{};
+    bool direct_busy = false;
+    bool flush_armed = false;
+    bool registering = false;
+    net::Time direct_bad_until{};
+    explicit Hosted(double cap) : probes(cap) {}
+  };
+
+  Hosted& hosted(const std::string& machine);
+  bool ours(const std::string& machine) const;
+  void take_report(const wire::Report& report, const cluster::Tag& host, bool hello);
+  void settle(const std::string& machine, bool hello);
+  void tell_settled(const std::string& machine, const Delivery& d, bool present);
+  void stray_tasks(const std::string& machine, Hosted& h, const View& view);
+  void answer(const std::string& machine);
+  std::uint64_t mandate_for(const Hosted& h, const View& view) const;
+  Room room(const std::string& machine, const Hosted& h) const;
+  void pump(const std::string& machine);
+  void flush_soon(const std::string& machine);
+  void flush_direct(const std::string& machine);
+  void on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result);
+  void register_machine(const std::string& machine, const wire::Report& report);
+  void drop_probes(const std::string& machine, Hosted& h);
+  bool fresh(const wire::json& message) const;
+  wire::json stamp_now() const;
+  bool usable(const std::string& machine, const View& view) const;
+
+  void on_probe(const cluster::Tag& from, const wire::json& m);
+  void on_run(const cluster::Tag& from, const wire::json& m);
+  void on_none(const cluster::Tag& from, const wire::json& m);
+  void on_order(const cluster::Tag& from, const wire::json& m);
+  void on_query(const cluster::Tag& from, const wire::json& m);
+
+  net::Runtime& runtime_;
+  const wire::Settings& settings_;
+  store::Client& client_;
+  const store::Mirror& mirror_;
+  cluster::Membership& membership_;
+  cluster::Router& router_;
+  cluster::JobIndex& jobs_;
+  Registry& registry_;
+  Seen seen_;
+  std::map<std::string, Hosted> hosted_;
+  /// Attempts that we called absent: should their order come after all, it is refused.
+  std::map<std::pair<std::string, std::uint64_t>, net::Time> refused_;
+};
+}  // namespace limemast::machines
--- /dev/null
+++ b/src/machines/registry.hpp
@@ -0,0 +1,101 @@
+#pragma once
+#include <map>
+#include <set>
+
+#include "cluster/job_index.hpp"
+#include "wire/cloud.hpp"
+#include "wire/worker.hpp"
+
+namespace limemast::machines {
+/// What a machine can still take, or what a task takes.
+struct Room {
+  double cpus = 0;
+  double ram_gb = 0;
+  double accelerators = 0;
+
+  static constexpr double kSlack = 1e-6;
+  static Room of(const wire::JobSpec& s) { return {s.cpus, s.ram_gb, s.accelerators}; }
+  static Room of(const wire::MachineType& t) { return {t.cpus, t.ram_gb, t.accelerators}; }
+  Room& operator+=(const Room& o) {
+    cpus += o.cpus, ram_gb += o.ram_gb, accelerators += o.accelerators;
+    return *this;
+  }
+  Room& operator-=(const Room& o) {
+    cpus -= o.cpus, ram_gb -= o.ram_gb, accelerators -= o.accelerators;
+    return *this;
+  }
+  bool fits(const Room& need) const {
+    return need.cpus <= cpus + kSlack && need.ram_gb <= ram_gb + kSlack && need.accelerators <= accelerators + kSlack;
+  }
+};
+
+/// A machine as its newest report shows it, wherever that report came in.
+struct View {
+  wire::Report report;
+  cluster::Tag host;  ///< the controller that heard it
+  net::Time heard{};
+  net::Time first_heard{};
+};
+
+/// Long tasks per machine, as the leader last told; probes are redrawn by it.
+struct LongMap {
+  std::uint64_t generation = 0;
+  std::uint64_t serial = 0;
+  std::set<std::string> with_long;
+  std::set<std::string> short_part;
+  bool fresher_than(const LongMap& o) const {
+    return generation != o.generation ? generation > o.generation : serial > o.serial;
+  }
+};
+
+/// All that is known of machines here: registrations from the state service, newest reports, types.
+class Registry {
+ public:
+  explicit Registry(const cluster::JobIndex& jobs) : jobs_(jobs) {}
+
+  /// Takes a report if it is newer than what is known; false if it is old or its machine is gone.
+  bool update(const wire::Report& report, const cluster::Tag& host, net::Time now);
+  const View* find(const std::string& machine) const;
+  const std::map<std::string, View>& views() const { return views_; }
+
+  void set_registered(const std::string& machine) { registered_.insert(machine); }
+  /// The machine was given back: it and all on it are gone for good, its name is never used again.
+  void remove(const std::string& machine);
+  bool registered(const std::string& machine) const { return registered_.contains(machine); }
+  bool gone(const std::string& machine) const { return gone_.contains(machine); }
+  const std::set<std::string>& all_registered() const { return registered_; }
+
+  void set_types(std::vector<wire::MachineType> types);
+  const wire::MachineType* type(const std::string& name) const;
+  const std::map<std::string, wire::MachineType>& types() const { return types_; }
+
+  /// Capacity less all that the report shows. A task whose needs are unknown leaves no room at all.
+  Room reported_room(const View& view) const;
+  bool holds_long(const View& view) const;
+
+  /// Images that tasks have run from on this machine, as far as was seen.
+  bool has_image(const std::string& machine, const std::string& image) const;
+
+  /// True once every registered machine has shown a mandate of `generation`: all that runs is known then.
+  bool all_known_since(std::uint64_t generation) const;
+
+  LongMap& long_map() { return long_map_; }
+  const LongMap& long_map() const { return long_map_; }
+
+  /// Machines that are being given back or drained: they take nothing new.
+  void set_closed(std::set<std::string> closed) { closed_ = std::move(closed); }
+  bool closed(const std::string& machine) const { return closed_.contains(machine); }
+  void close(const std::string& machine) { closed_.insert(machine); }
+  const std::set<std::string>& all_closed() const { return closed_; }
+
+ private:
+  const cluster::JobIndex& jobs_;
+  std::map<std::string, View> views_;
+  std::set<std::string> registered_;
+  std::set<std::string> gone_;
+  std::set<std::string> closed_;
+  std::map<std::string, wire::MachineType> types_;
+  std::map<std::string, std::set<std::string>> images_;
+  LongMap long_map_;
+};
+}  // namespace limemast::machines
--- /dev/null
+++ b/src/net/peer_links.hpp
@@ -0,0 +1,33 @@
+#pragma once
+#include <uv.h>
+
+#include <list>
+#include <map>
+#include <memory>
+
+#include "net/runtime.hpp"
+
+namespace limemast::net {
+/// Links between controllers: length-prefixed CBOR frames over TCP. Each side sends on the link it opened
+/// itself; a frame that cannot be read closes its link.
+class PeerLinks {
+ public:
+  using Receive = std::function<void(wire::json)>;
+  PeerLinks(uv_loop_t* loop, std::map<std::string, Endpoint> others, Receive receive);
+  ~PeerLinks();
+  void listen(const Endpoint& at);
+  void send(const std::string& label, const wire::json& message);
+
+  class Outgoing;
+  class Incoming;
+
+ private:
+  friend class Incoming;
+  uv_loop_t* loop_;
+  Receive receive_;
+  std::unique_ptr<uv_tcp_t, void (*)(uv_tcp_t*)> listener_;
+  std::map<std::string, std::shared_ptr<Outgoing>> outgoing_;
+  std::map<std::string, Endpoint> others_;
+  std::list<std::shared_ptr<Incoming>> incoming_;
+};
+}  // namespace limemast::net
--- /dev/null
+++ b/src/sched/placement.hpp
@@ -0,0 +1,34 @@
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/job.hpp"
+
+namespace limemast::sched {
+/// A machine that could take a long task now.
+struct Candidate {
+  std::string machine;
+  std::string zone;
+  bool spot = false;
+  bool short_part = false;
+  wire::Seconds delay{0};   ///< until the task could start: the fetch of its image
+  double price = 0;         ///< what the machine costs per unit of its size
+  double fill = 0;          ///< share of the machine in use
+  double fill_after = 0;
+};
+
+/// The candidate where the task starts soonest (least work left before it: the machines that have room differ
+/// by the image fetch only); among equals the cheaper kind, then the fullest, so that idle ones can be returned.
+/// Machines of the short part are never chosen.
+std::optional<std::size_t> choose(const std::vector<Candidate>& candidates, wire::Seconds indifference);
+
+/// The short part: `share` of the machines, rounded up, kept as they are where possible, none with long tasks.
+struct PartCandidate {
+  std::string machine;
+  bool has_long = false;
+  bool in_part = false;
+  bool spot = false;
+};
+std::vector<std::string> choose_short_part(std::vector<PartCandidate> machines, double share);
+}  // namespace limemast::sched
--- /dev/null
+++ b/src/store/client.cpp
@@ -0,0 +1,118 @@
+#include "store/client.hpp"
+
+namespace limemast::store {
+namespace {
+using namespace std::chrono_literals;
+constexpr auto kTimeout = 3s;
+/// Left unused: our clock and the service's do not agree on where a second begins.
+constexpr double kHeadroom = 0.9;
+}  // namespace
+
+Client::Client(net::Runtime& runtime, const wire::Settings& s)
+    : runtime_(runtime),
+      endpoint_(s.state),
+      requests_(s.state_rps * kHeadroom / s.size, s.state_rps * kHeadroom / s.size),
+      writes_(s.state_write_rps * kHeadroom / s.size, s.state_write_rps * kHeadroom / s.size) {}
+
+void Client::call(Priority priority, net::HttpRequest request, net::Duration timeout,
+                  std::function<void(net::HttpResult)> done, double writes) {
+  auto& queue = queues_[static_cast<std::size_t>(priority)];
+  if (queue.size() >= kMaxQueue) {
+    runtime_.post([done = std::move(done)] { done({429, false, {}}); });
+    return;
+  }
+  queue.push_back({std::move(request), timeout, std::move(done), writes, runtime_.now()});
+  pump();
+}
+
+void Client::pump() {
+  const auto now = runtime_.now();
+  net::Duration wait = net::Duration::max();
+  for (std::size_t p = 0; p < queues_.size(); ++p) {
+    auto& queue = queues_[p];
+    while (!queue.empty()) {
+      auto& next = queue.front();
+      // Vital calls run up a debt that the others pay.
+      if (p != 0) {
+        const auto need = std::max(requests_.wait_for(now, 1), next.writes > 0 ? writes_.wait_for(now, next.writes) : net::Duration::zero());
+        if (need > net::Duration::zero()) {
+          wait = std::min(wait, need);
+          break;
+        }
+      }
+      requests_.take(now, 1);
+      if (next.writes > 0) writes_.take(now, next.writes);
+      auto pending = std::move(next);
+      queue.pop_front();
+      runtime_.http(endpoint_, std::move(pending.request), pending.timeout,
+                    [this, done = std::move(pending.done)](net::HttpResult r) {
+                      if (r.status == 429) requests_.drain(runtime_.now());
+                      done(std::move(r));
+                    });
+    }
+    // What is behind a waiting, more important queue waits as well.
+    if (!queue.empty()) break;
+  }
+  if (wait != net::Duration::max() && !armed_) {
+    armed_ = true;
+    runtime_.after(wait, [this] {
+      armed_ = false;
+      pump();
+    });
+  }
+}
+
+void Client::get(Priority priority, const std::string& key, std::function<void(GetResult)> done) {
+  call(priority, {"GET", "/keys/" + key, {}}, kTimeout, [done = std::move(done)](net::HttpResult r) {
+    GetResult out;
+    if (r.status == 404) {
+      // Only the service's own word counts: a stray 404 carries no epoch.
+      const auto body = json::parse(r.body, nullptr, false);
+      out.answered = body.is_object() && body.contains("epoch");
+    } else if (r.status == 200) {
+      const auto body = json::parse(r.body, nullptr, false);
+      if (body.is_object() && body.contains("v") && body.contains("stamp")) {
+        out.answered = out.found = true;
+        out.value = body["v"];
+        out.stamp = body["stamp"].get<std::uint64_t>();
+        if (auto it = body.find("permit"); it != body.end() && it->is_number_unsigned()) out.permit = it->get<std::uint64_t>();
+      }
+    }
+    done(std::move(out));
+  });
+}
+
+void Client::txn(Priority priority, const std::vector<Condition>& when, const std::vector<Write>& writes,
+                 std::function<void(TxnResult)> done) {
+  json body{{"when", json::array()}, {"writes", json::array()}};
+  for (const auto& c : when) body["when"].push_back({{"key", c.key}, {"stamp", c.stamp}});
+  for (const auto& w : writes) {
+    if (!w.value) {
+      body["writes"].push_back({{"remove", w.key}});
+      continue;
+    }
+    json set{{"set", w.key}, {"v", *w.value}};
+    if (w.permit != 0) set["permit"] = w.permit;
+    body["writes"].push_back(std::move(set));
+  }
+  call(priority, {"POST", "/txn", body.dump()}, kTimeout,
+       [done = std::move(done)](net::HttpResult r) {
+         TxnResult out;
+         out.status = r.status;
+         const auto answer = json::parse(r.body, nullptr, false);
+         if (answer.is_object()) out.epoch = answer.value("epoch", std::uint64_t{0});
+         if (r.status == 200 && out.epoch != 0) {
+           out.verdict = Verdict::Ok;
+         } else if (r.status == 409) {
+           out.verdict = Verdict::Conflict;
+           if (answer.is_object() && answer.contains("failed"))
+             for (const auto& k : answer["failed"])
+               if (k.is_string()) out.failed.push_back(k.get<std::string>());
+         } else if (r.status == 400 || r.status == 429 || r.status == 503 || (r.status == 0 && !r.maybe_sent)) {
+           out.verdict = Verdict::Refused;
+         }
+         done(std::move(out));
+       },
+       static_cast<double>(writes.size()));
+}
+}  // namespace limemast::store
--- /dev/null
+++ b/src/store/client.hpp
@@ -0,0 +1,76 @@
+#pragma once
+#include <array>
+#include <deque>
+
+#include "net/runtime.hpp"
+#include "net/token_bucket.hpp"
+#include "wire/settings.hpp"
+
+namespace limemast::store {
+using wire::json;
+
+enum class Priority { Vital, User, Background };
+
+struct Condition {
+  std::string key;
+  std::uint64_t stamp = 0;
+};
+struct Write {
+  std::string key;
+  std::optional<json> value;  ///< nullopt: remove
+  std::uint64_t permit = 0;
+};
+
+enum class Verdict {
+  Ok,
+  Conflict,   ///< a condition did not hold: nothing was written
+  Refused,    ///< not executed: outage, rate, or no such grant
+  Unknown     ///< no answer: it may have been applied, or may yet be
+};
+struct TxnResult {
+  Verdict verdict = Verdict::Unknown;
+  std::uint64_t epoch = 0;
+  std::vector<std::string> failed;
+  int status = 0;
+};
+struct GetResult {
+  bool answered = false;  ///< the service itself said what the key holds
+  bool found = false;
+  json value;
+  std::uint64_t stamp = 0;
+  std::uint64_t permit = 0;
+};
+
+/// The state service, paced to this controller's part of its limits. Grants and elections go first.
+class Client {
+ public:
+  Client(net::Runtime& runtime, const wire::Settings& settings);
+  void get(Priority priority, const std::string& key, std::function<void(GetResult)> done);
+  void txn(Priority priority, const std::vector<Condition>& when, const std::vector<Write>& writes,
+           std::function<void(TxnResult)> done);
+  /// Any other call; `done` gets the raw answer.
+  void call(Priority priority, net::HttpRequest request, net::Duration timeout, std::function<void(net::HttpResult)> done,
+            double writes = 0);
+  /// True if users' calls already wait in line: better to turn them away at once.
+  bool crowded() const { return queues_[1].size() > kCrowded; }
+
+ private:
+  struct Pending {
+    net::HttpRequest request;
+    net::Duration timeout;
+    std::function<void(net::HttpResult)> done;
+    double writes;
+    net::Time since;
+  };
+  static constexpr std::size_t kMaxQueue = 2000;
+  static constexpr std::size_t kCrowded = 150;
+  void pump();
+
+  net::Runtime& runtime_;
+  std::string endpoint_;
+  net::TokenBucket requests_;
+  net::TokenBucket writes_;
+  std::array<std::deque<Pending>, 3> queues_;
+  bool armed_ = false;
+};
+}  // namespace limemast::store
--- /dev/null
+++ b/src/store/mirror.cpp
@@ -0,0 +1,90 @@
+#include "store/mirror.hpp"
+
+namespace limemast::store {
+namespace {
+using namespace std::chrono_literals;
+constexpr auto kWait = 5s;
+constexpr auto kWatchTimeout = 8s;
+constexpr auto kListTimeout = 5s;
+constexpr auto kPause = 300ms;
+constexpr auto kPage = "500";
+}  // namespace
+
+Mirror::Mirror(net::Runtime& runtime, Client& client, std::string prefix)
+    : runtime_(runtime), client_(client), prefix_(std::move(prefix)) {}
+
+void Mirror::start(Listener listener) {
+  listener_ = std::move(listener);
+  list("");
+}
+
+const Entry* Mirror::find(const std::string& key) const {
+  auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+void Mirror::retry(std::function<void()> again) { runtime_.after(kPause, std::move(again)); }
+
+void Mirror::list(const std::string& from) {
+  if (from.empty()) listing_.clear();
+  std::string path = "/keys?prefix=" + prefix_ + "&limit=" + kPage;
+  if (!from.empty()) path += "&from=" + from;
+  client_.call(Priority::Vital, {"GET", path, {}}, kListTimeout, [this, from](net::HttpResult r) {
+    const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+    if (!body.is_object() || !body.contains("entries")) return retry([this] { list(""); });
+    // Changes are watched from the first page on: what changes while later pages are read is seen again.
+    if (from.empty()) listing_epoch_ = body.value("epoch", std::uint64_t{0});
+    std::string last;
+    for (const auto& e : body["entries"]) {
+      last = e.at("key").get<std::string>();
+      listing_[last] = {e.at("v"), e.at("stamp").get<std::uint64_t>()};
+    }
+    if (body.value("truncated", false) && !last.empty()) return list(last);
+
+    std::vector<Change> changes;
+    for (const auto& [key, entry] : entries_)
+      if (!listing_.contains(key)) changes.push_back({key, true});
+    for (const auto& [key, entry] : listing_) {
+      const auto* old = find(key);
+      if (!old || old->stamp != entry.stamp) changes.push_back({key, false});
+    }
+    entries_ = std::move(listing_);
+    listing_.clear();
+    epoch_ = listing_epoch_;
+    synced_ = true;
+    listener_(changes);
+    watch();
+  });
+}
+
+void Mirror::watch() {
+  const auto wait = std::chrono::milliseconds(kWait).count();
+  client_.call(Priority::Vital,
+               {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(epoch_) + "&waitMs=" + std::to_string(wait), {}},
+               kWatchTimeout, [this](net::HttpResult r) {
+                 if (r.status == 410) return list("");
+                 const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+                 if (!body.is_object() || !body.contains("epoch")) return retry([this] { watch(); });
+                 std::vector<Change> changes;
+                 if (auto news = body.find("news"); news != body.end()) {
+                   for (const auto& n : *news) {
+                     const auto stamp = n.at("stamp").get<std::uint64_t>();
+                     const bool removed = n.contains("remove");
+                     const auto key = n.at(removed ? "remove" : "set").get<std::string>();
+                     auto it = entries_.find(key);
+                     if (it != entries_.end() && it->second.stamp >= stamp) continue;
+                     if (removed) {
+                       if (it == entries_.end()) continue;
+                       entries_.erase(it);
+                     } else {
+                       entries_[key] = {n.at("v"), stamp};
+                     }
+                     changes.push_back({key, removed});
+                   }
+                 }
+                 epoch_ = std::max(epoch_, body["epoch"].get<std::uint64_t>());
+                 if (!changes.empty()) listener_(changes);
+                 watch();
+               });
+}
+}  // namespace limemast::store
--- /dev/null
+++ b/src/store/mirror.hpp
@@ -0,0 +1,43 @@
+#pragma once
+#include <map>
+
+#include "store/client.hpp"
+
+namespace limemast::store {
+struct Entry {
+  json value;
+  std::uint64_t stamp = 0;
+};
+struct Change {
+  std::string key;
+  bool removed = false;
+};
+
+/// A copy of all keys under one prefix, kept by one watch, changes in the order of their revisions. What it
+/// shows may be old, never out of order: whoever sees a key here sees every change made before it as well.
+class Mirror {
+ public:
+  using Listener = std::function<void(const std::vector<Change>&)>;
+  Mirror(net::Runtime& runtime, Client& client, std::string prefix);
+  void start(Listener listener);
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+  const Entry* find(const std::string& key) const;
+  bool synced() const { return synced_; }
+  std::uint64_t epoch() const { return epoch_; }
+
+ private:
+  void list(const std::string& from);
+  void watch();
+  void retry(std::function<void()> again);
+
+  net::Runtime& runtime_;
+  Client& client_;
+  std::string prefix_;
+  Listener listener_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Entry> listing_;
+  std::uint64_t listing_epoch_ = 0;
+  std::uint64_t epoch_ = 0;
+  bool synced_ = false;
+};
+}  // namespace limemast::store
--- /dev/null
+++ b/src/wire/settings.hpp
@@ -0,0 +1,61 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wire/job.hpp"
+
+namespace limemast::wire {
+struct Team {
+  double cpus = 0;
+  double cpus_max = 0;  ///< 0: no limit
+  double accelerators = 0;
+  double accelerators_max = 0;
+};
+
+/// What the users expect of a class of jobs, as the platform tells it.
+struct Objective {
+  std::string kind;
+  std::string workload;
+  Seconds within{0};
+  double share = 0;
+};
+
+/// Operators' own choices (TOML); the defaults are the design's starting values.
+struct Tuning {
+  double short_share = 0.17;         ///< share of machines that take no long tasks
+  Seconds long_threshold{60};        ///< a job is long if its tasks average more
+  std::uint32_t min_probes = 4;      ///< K: the fewest probes a job sends
+  double bypass_cap = 5;             ///< how often its own estimate a probe may be passed by
+  Seconds map_interval{2};           ///< how often the leader sends its map of long tasks
+  Seconds progress_interval{5};      ///< how often an owner records its progress
+  Seconds idle_return{20};           ///< a machine idle for this long is returned
+  Seconds array_patience{0};         ///< how long arrays may wait for room before more is hired; 0: derived
+};
+
+struct Settings {
+  std::string label;
+  std::string zone;
+  std::string serve_on;
+  std::string peers_on;
+  std::map<std::string, std::string> others;
+  std::string cloud;
+  std::string state;
+  std::uint32_t size = 3;
+  std::vector<std::string> zones;
+  std::map<std::string, Team> teams;
+  std::vector<Objective> objectives;
+  Seconds report{2};
+  Seconds lease{12};
+  Seconds cancel{37};
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double value_kb = 0;
+  std::uint32_t txn_ops = 0;
+  double cloud_rps = 0;
+  Seconds list_lag{0};
+  std::uint32_t max_connections = 0;
+  Seconds skew{0};
+  Tuning tuning;
+};
+}  // namespace limemast::wire
