--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -359,8 +359,9 @@
   }
   b.settled = true;
   b.settled_tick = m.at("tick").get<std::uint64_t>();
-  // What our own view shows may be newer than the proof.
-  on_view(b.machine);
+  // What our own view shows may be newer than the proof. The name is copied: reading the view may end the binding.
+  const auto machine = b.machine;
+  on_view(machine);
 }
 
 // ---- probes ----
