--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -1,5 +1,7 @@
 #include "store/mirror.hpp"
 
+#include <set>
+
 namespace limemast::store {
 namespace {
 using namespace std::chrono_literals;
@@ -83,6 +85,12 @@
                    }
                  }
                  epoch_ = std::max(epoch_, body["epoch"].get<std::uint64_t>());
+                 // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
+                 std::set<std::string> told;
+                 std::vector<Change> final;
+                 for (const auto& c : changes)
+                   if (told.insert(c.key).second) final.push_back({c.key, !entries_.contains(c.key)});
+                 changes = std::move(final);
                  if (!changes.empty()) listener_(changes);
                  watch();
                });
--- /dev/null
+++ b/tests/sim/sim_test.cpp
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+#include "standins/cluster.hpp"
+
+namespace limemast {
+namespace {
+using namespace standins;
+using namespace std::chrono_literals;
+
+std::string broken(const Rules& rules) {
+  std::string out;
+  for (const auto& [rule, what] : rules.broken()) out += rule + ": " + what + "; ";
+  return out;
+}
+
+/// Random days: the rules are checked after every step, and what was accepted is done once the troubles end.
+class RandomDay : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  void SetUp() override { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
+};
+
+TEST_P(RandomDay, RulesHoldAndWorkFinishes) {
+  World world(GetParam());
+  Cluster::Options options;
+  if (GetParam() % 3 == 0) options.log_size = 60;  // watches fall behind: 410 and a new listing
+  Cluster cluster(world, settings_for_tests(), options);
+  cluster.run(30s);
+  const double mean = GetParam() % 2 == 0 ? 12 : 25;
+  for (auto end = world.now() + 240s; world.now() < end;) {
+    cluster.run(seconds(world.uniform(1, 2 * mean)));
+    cluster.random_trouble();
+    ASSERT_EQ(broken(cluster.rules()), "") << "seed " << GetParam();
+  }
+  cluster.stop_arrivals();
+  cluster.run(400s);
+  EXPECT_EQ(broken(cluster.rules()), "") << "seed " << GetParam();
+  EXPECT_GT(cluster.rules().starts(), 20u);
+  EXPECT_EQ(cluster.up_controllers(), 3u);
+  const auto left = cluster.unfinished();
+  EXPECT_TRUE(left.empty()) << left.size() << " left, first " << left.front() << ", seed " << GetParam();
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range<std::uint64_t>(1, 31));
+
+/// The checks themselves: each planted violation must be caught, and a good day must not be.
+class PlantedViolation : public testing::Test {
+ protected:
+  void SetUp() override {
+    spec_.uid = "wk-000001";
+    spec_.team = "red";
+    spec_.tasks = 2;
+    spec_.cpus = 4;
+    spec_.spread = true;
+    rules_.submitted(spec_);
+    rules_.accepted(spec_.uid);
+  }
+  bool broke(const std::string& rule) const { return rules_.broken().contains(rule); }
+  void TearDown() override { EXPECT_EQ(rules_.broken().size(), 1u) << broken(rules_); }
+
+  World world_{1};
+  wire::Settings settings_ = settings_for_tests();
+  Rules rules_{world_, settings_};
+  wire::JobSpec spec_;
+};
+
+TEST_F(PlantedViolation, RanTwice) {
+  rules_.started("wk-000001/0", "m1", "small", "a", false);
+  rules_.ended("wk-000001/0", "m1");
+  rules_.started("wk-000001/0", "m2", "small", "a", false);
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.started("wk-000001/0", "m3", "small", "a", false);
+  EXPECT_TRUE(broke("ran_twice"));
+}
+TEST_F(PlantedViolation, Quota) {
+  spec_.spread = false;
+  spec_.tasks = 16;
+  spec_.uid = "wk-000002";
+  rules_.submitted(spec_);
+  for (int i = 0; i < 15; ++i) rules_.started("wk-000002/" + std::to_string(i), "m", "small", "a", false);
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.started("wk-000002/15", "m", "small", "a", false);
+  EXPECT_TRUE(broke("quota"));
+}
+TEST_F(PlantedViolation, WrongPlaceKind) {
+  rules_.started("wk-000001/0", "m1", "small", "a", true);
+  EXPECT_TRUE(broke("wrong_place"));
+}
+TEST_F(PlantedViolation, WrongPlaceSpread) {
+  rules_.started("wk-000001/0", "m1", "small", "a", false);
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.started("wk-000001/1", "m2", "small", "a", false);
+  EXPECT_TRUE(broke("wrong_place"));
+}
+TEST_F(PlantedViolation, RanCancelled) {
+  rules_.started("wk-000001/0", "m1", "small", "a", false);
+  rules_.asked_to_cancel("wk-000001");
+  rules_.told("wk-000001", 200, "cancelled");
+  world_.step(World::start() + net::to_duration(settings_.cancel));
+  rules_.check_time();
+  EXPECT_TRUE(rules_.broken().empty());
+  world_.step(world_.now() + 1s);
+  rules_.check_time();
+  EXPECT_TRUE(broke("ran_cancelled"));
+}
+TEST_F(PlantedViolation, Forgotten) {
+  rules_.told("wk-000001", 404, "");
+  EXPECT_TRUE(broke("forgotten"));
+}
+TEST_F(PlantedViolation, ForgottenOnRepeat) {
+  rules_.resubmitted("wk-000001", 422);
+  EXPECT_TRUE(broke("forgotten"));
+}
+TEST_F(PlantedViolation, Invented) {
+  rules_.told("wk-000077", 404, "");
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.told("wk-000077", 200, "pending");
+  EXPECT_TRUE(broke("invented"));
+}
+TEST_F(PlantedViolation, NotDone) {
+  rules_.completed("wk-000001", 0);
+  rules_.told("wk-000001", 200, "done");
+  EXPECT_TRUE(broke("not_done"));
+}
+TEST_F(PlantedViolation, WentBack) {
+  rules_.completed("wk-000001", 0);
+  rules_.completed("wk-000001", 1);
+  rules_.told("wk-000001", 200, "done");
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.told("wk-000001", 200, "running");
+  EXPECT_TRUE(broke("went_back"));
+}
+TEST_F(PlantedViolation, CancelledUnasked) {
+  rules_.told("wk-000001", 200, "cancelled");
+  EXPECT_TRUE(broke("went_back"));
+}
+}  // namespace
+}  // namespace limemast
--- /dev/null
+++ b/tests/standins/cluster.cpp
@@ -0,0 +1,582 @@
+#include "standins/cluster.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limemast::standins {
+namespace {
+struct Kind {
+  const char* name;
+  double cpus, ram;
+};
+constexpr Kind kKinds[] = {{"small", 8, 16}, {"large", 16, 64}};
+const Kind& kind(const std::string& name) { return name == kKinds[0].name ? kKinds[0] : kKinds[1]; }
+constexpr std::size_t kPerPool = 4;  ///< machines to be had of each type, zone and kind
+constexpr double kListLag = 3;
+}  // namespace
+
+wire::Settings settings_for_tests() {
+  wire::Settings s;
+  s.zones = {"a", "b", "c"};
+  s.teams["red"] = {40, 60, 0, 0};
+  s.teams["blue"] = {0, 0, 0, 0};
+  s.report = wire::Seconds(2);
+  s.lease = wire::Seconds(10);
+  s.cancel = wire::Seconds(25);
+  s.state_rps = 200;
+  s.state_write_rps = 80;
+  s.value_kb = 8;
+  s.txn_ops = 12;
+  s.cloud_rps = 5;
+  s.list_lag = wire::Seconds(kListLag);
+  s.max_connections = 1000;
+  s.state = "state:1";
+  s.cloud = "cloud:1";
+  return s;
+}
+
+/// One process's view of the world; dead processes hear nothing more.
+class Cluster::Runtime final : public net::Runtime {
+ public:
+  Runtime(Cluster& cluster, std::size_t node) : cluster_(cluster), node_(node), random_(cluster.world_.random()), alive_(std::make_shared<bool>(true)) {}
+  ~Runtime() override { *alive_ = false; }
+  Time now() const override { return cluster_.world_.now(); }
+  net::WallTime wall() const override { return cluster_.world_.wall(); }
+  std::mt19937_64& random() override { return random_; }
+  TimerId after(Duration delay, std::function<void()> fire) override { return cluster_.world_.at(delay, guard(std::move(fire))); }
+  void cancel(TimerId id) override { cluster_.world_.cancel(id); }
+  void post(std::function<void()> fire) override { cluster_.world_.at(0s, guard(std::move(fire))); }
+
+  void http(const net::Endpoint& to, net::HttpRequest request, Duration timeout, std::function<void(net::HttpResult)> done) override {
+    auto once = std::make_shared<std::function<void(net::HttpResult)>>(std::move(done));
+    auto finish = [once, alive = alive_](net::HttpResult r) {
+      if (!*alive || !*once) return;
+      auto d = std::exchange(*once, nullptr);
+      d(std::move(r));
+    };
+    cluster_.world_.at(timeout, [finish] { finish({0, true, {}}); });
+    const auto side = to == cluster_.settings_.state ? Side::State : to == cluster_.settings_.cloud ? Side::Cloud : Side::Workers;
+    auto& c = cluster_;
+    const auto node = node_;
+    auto answer = [&c, node, side, finish](net::HttpResult r) {
+      c.link(node, side, [finish, r = std::move(r)] { finish(r); });
+    };
+    c.link(node, side, [&c, to, request = std::move(request), side, answer] {
+      if (side == Side::State) return c.state_.handle(request, answer);
+      if (side == Side::Cloud) return c.cloud(request, answer);
+      c.orders(to.substr(0, to.find(':')), request, answer);
+    });
+  }
+  void send_peer(const std::string& label, const json& message) override {
+    auto& c = cluster_;
+    for (std::size_t i = 0; i < c.nodes_.size(); ++i) {
+      if (c.nodes_[i].settings.label != label) continue;
+      c.link(node_, Side::Peers, [&c, i, message] {
+        c.link(i, Side::Peers, [&c, i, message] {
+          if (c.nodes_[i].controller) c.nodes_[i].controller->from_peer(message);
+        });
+      });
+    }
+  }
+
+ private:
+  std::function<void()> guard(std::function<void()> fire) {
+    return [alive = alive_, fire = std::move(fire)] {
+      if (*alive) fire();
+    };
+  }
+  Cluster& cluster_;
+  std::size_t node_;
+  std::mt19937_64 random_;
+  std::shared_ptr<bool> alive_;
+};
+
+Cluster::Cluster(World& world, wire::Settings settings, Options options)
+    : world_(world), settings_(std::move(settings)), options_(options), state_(world, options.log_size), rules_(world, settings_) {
+  settings_.size = static_cast<std::uint32_t>(options.controllers);
+  nodes_.resize(options.controllers);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    auto& s = nodes_[i].settings;
+    s = settings_;
+    s.label = "node-" + std::to_string(i);
+    s.zone = settings_.zones[i % settings_.zones.size()];
+    s.serve_on = s.label + ":80";
+    s.peers_on = s.label + ":81";
+    for (std::size_t j = 0; j < nodes_.size(); ++j)
+      if (j != i) s.others["node-" + std::to_string(j)] = "node-" + std::to_string(j) + ":81";
+    start(i);
+  }
+  snapshot();
+  arrive();
+}
+Cluster::~Cluster() = default;
+
+void Cluster::run(Duration time) {
+  const auto until = world_.now() + time;
+  while (world_.step(until)) rules_.check_time();
+}
+
+// ---- network and processes ----
+
+void Cluster::link(std::size_t node, Side side, std::function<void()> deliver) {
+  auto& n = nodes_[node];
+  if (n.cut[side] > 0) {
+    if (n.hold) n.held[side].push_back(std::move(deliver));
+    return;
+  }
+  world_.at(latency(), std::move(deliver));
+}
+
+void Cluster::start(std::size_t node) {
+  auto& n = nodes_[node];
+  ++n.start;
+  n.runtime = std::make_unique<Runtime>(*this, node);
+  n.controller = std::make_unique<app::Controller>(*n.runtime, n.settings);
+}
+
+void Cluster::crash(std::size_t node, Duration back_after) {
+  auto& n = nodes_[node];
+  if (!n.controller) return;
+  n.controller.reset();
+  n.runtime.reset();
+  world_.at(back_after, [this, node] { start(node); });
+}
+
+void Cluster::cut(std::size_t node, Side side, bool hold, Duration time) {
+  auto& n = nodes_[node];
+  ++n.cut[side];
+  n.hold = hold;
+  world_.at(time, [this, node, side] {
+    auto& n = nodes_[node];
+    if (--n.cut[side] > 0) return;
+    for (auto& deliver : std::exchange(n.held[side], {})) world_.at(latency(), std::move(deliver));
+  });
+}
+
+void Cluster::state_outage(Duration time) {
+  if (++outages_ == 1) state_.set_outage(true);
+  world_.at(time, [this] {
+    if (--outages_ == 0) state_.set_outage(false);
+  });
+}
+
+void Cluster::cloud_outage(Duration time) {
+  cloud_down_ = true;
+  world_.at(time, [this] { cloud_down_ = false; });
+}
+
+std::size_t Cluster::up_controllers() const {
+  return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](auto& n) { return n.controller && n.controller->node().membership().entitled(); }));
+}
+
+void Cluster::ask(std::size_t node, const net::HttpRequest& request, net::Responder respond) {
+  if (auto& n = nodes_[node]; n.controller) n.controller->serve(request, std::move(respond));
+}
+
+void Cluster::to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout,
+                            std::function<void(net::HttpResult)> done) {
+  auto once = std::make_shared<std::function<void(net::HttpResult)>>(std::move(done));
+  auto finish = [once](net::HttpResult r) {
+    if (!*once) return;
+    auto d = std::exchange(*once, nullptr);
+    d(std::move(r));
+  };
+  world_.at(timeout, [finish] { finish({0, true, {}}); });
+  auto deliver = [this, node, side, request, finish] {
+    auto& n = nodes_[node];
+    if (!n.controller) return finish({0, false, {}});
+    n.controller->serve(request, [this, node, side, finish](net::HttpResponse r) {
+      auto back = [finish, r] { finish({r.status, true, r.body}); };
+      if (side == Side::Workers) return link(node, side, back);
+      world_.at(latency(), back);
+    });
+  };
+  if (side == Side::Workers) return link(node, side, deliver);
+  world_.at(latency(), deliver);  // users are never cut off by the troubles of these tests
+}
+
+// ---- cloud ----
+
+void Cluster::snapshot() {
+  json hosts = json::array();
+  for (const auto& [name, w] : workers_)
+    if (!w.gone)
+      hosts.push_back({{"uid", name}, {"address", w.address}, {"flavor", w.type}, {"district", w.zone}, {"reclaimable", w.spot},
+                       {"phase", w.up ? "running" : "booting"}, {"heldS", net::to_seconds(world_.now() - w.rented).count()}});
+  snapshots_.push_front({{"hosts", hosts}, {"truncated", false}});
+  if (snapshots_.size() > 2 * kListLag + 1) snapshots_.pop_back();
+  world_.at(1s, [this] { snapshot(); });
+}
+
+void Cluster::cloud(const net::HttpRequest& r, const StateService::Answer& answer) {
+  if (cloud_down_) return answer({503, true, R"({"error":"trouble"})"});
+  const auto body = json::parse(r.body, nullptr, false);
+  if (r.path == "/catalog") {
+    json flavors = json::array();
+    for (const auto& k : kKinds)
+      flavors.push_back({{"name", k.name}, {"cpus", k.cpus}, {"accelerators", 0}, {"ramGb", k.ram}, {"localGb", 50}, {"fetchGbPerS", 0.5},
+                         {"hourly", k.cpus * 0.05}, {"lowPrice", k.cpus * 0.015}, {"readyS", 8}, {"districts", settings_.zones}});
+    return answer({200, true, json{{"flavors", flavors}}.dump()});
+  }
+  if (r.method == "GET") return answer({200, true, snapshots_[world_.below(snapshots_.size())].dump()});
+  if (r.path == "/machines") {
+    const auto name = body.at("hire").get<std::string>();
+    if (auto it = hires_.find(name); it != hires_.end()) return answer({200, true, it->second.dump()});
+    const auto type = body.at("flavor").get<std::string>();
+    const auto zone = body.at("district").get<std::string>();
+    const bool spot = body.at("reclaimable").get<bool>();
+    auto have = static_cast<std::size_t>(std::count_if(workers_.begin(), workers_.end(), [&](auto& w) {
+      return !w.second.gone && w.second.type == type && w.second.zone == zone && w.second.spot == spot;
+    }));
+    json hosts = json::array();
+    for (auto n = body.at("howMany").get<std::size_t>(); n > 0 && have < kPerPool; --n, ++have) {
+      char text[16];
+      std::snprintf(text, sizeof text, "n-%06u", static_cast<unsigned>(next_machine_++));
+      auto& w = workers_[text];
+      w.name = text;
+      w.type = type;
+      w.zone = zone;
+      w.spot = spot;
+      w.address = w.name + ":9000";
+      w.rented = world_.now();
+      hosts.push_back(w.name);
+      if (!world_.chance(0.03)) world_.at(seconds(world_.uniform(1, 12)), [this, name = w.name] { boot(name); });  // else it never comes up
+    }
+    if (hosts.empty()) return answer({503, true, R"({"error":"no capacity"})"});
+    hires_[name] = {{"hosts", hosts}};
+    return answer({200, true, hires_[name].dump()});
+  }
+  for (const auto& host : body.at("hosts"))
+    if (auto it = workers_.find(host.get<std::string>()); it != workers_.end()) remove_worker(it->second);
+  answer({200, true, "{}"});
+}
+
+void Cluster::boot(const std::string& name) {
+  auto& w = workers_.at(name);
+  if (w.gone) return;
+  w.up = true;
+  w.last_ok = world_.now();
+  w.home = world_.below(nodes_.size());
+  report(name);
+}
+
+void Cluster::remove_worker(Worker& w) {
+  if (w.gone) return;
+  drop_all(w);
+  w.gone = true;
+  w.up = false;
+  w.while_hung.clear();
+}
+
+// ---- workers ----
+
+double Cluster::free_cpus(const Worker& w) const {
+  double free = kind(w.type).cpus;
+  for (const auto& t : w.tasks)
+    if (t.phase != wire::TaskPhase::Exited) free -= jobs_.at(t.uid).spec.cpus;
+  return free;
+}
+
+void Cluster::drop_all(Worker& w) {
+  for (auto& t : w.tasks)
+    if (t.phase == wire::TaskPhase::Running || t.phase == wire::TaskPhase::Saving) rules_.ended(wire::task_name(t.uid, t.index), w.name);
+  w.tasks.clear();
+}
+
+void Cluster::check_lease(Worker& w) {
+  if (!w.up || w.hung || world_.now() - w.last_ok <= net::to_duration(settings_.lease)) return;
+  drop_all(w);
+  ++w.tenure;
+  w.last_ok = world_.now();
+}
+
+void Cluster::when_awake(const std::string& name, std::function<void(Worker&)> act) {
+  auto& w = workers_.at(name);
+  if (!w.up) return;
+  if (w.hung) return void(w.while_hung.push_back([this, name, act] { act(workers_.at(name)); }));
+  check_lease(w);
+  act(w);
+}
+
+wire::Report Cluster::account(Worker& w) {
+  wire::Report r;
+  r.machine = w.name;
+  r.address = w.address;
+  r.type = w.type;
+  r.zone = w.zone;
+  r.spot = w.spot;
+  r.tenure = w.tenure;
+  r.tick = ++w.tick;
+  r.mandate = w.mandate;
+  if (w.notice) r.notice = wire::Seconds(*w.notice);
+  for (const auto& t : w.tasks) r.tasks.push_back({t.uid, t.index, t.attempt, t.phase, t.cause});
+  return r;
+}
+
+void Cluster::report(const std::string& name) {
+  when_awake(name, [this, name](Worker& w) {
+    if (w.in_flight != 0) return;
+    const auto flight = w.in_flight = next_serial_++;
+    const auto sent = world_.now();
+    const auto tenure = w.tenure;
+    to_controller(w.home, Side::Workers, {"POST", "/hello", wire::to_json(account(w)).dump()}, 4s, [=, this](net::HttpResult r) {
+      when_awake(name, [=, this](Worker& w) {
+        if (w.in_flight != flight) return;
+        w.in_flight = 0;
+        // Answers are dropped after 4 s, whenever the machine comes to read them.
+        const bool in_time = world_.now() - sent <= 4s;
+        if (r.status == 200 && in_time && tenure == w.tenure) {
+          const auto body = json::parse(r.body);
+          const auto mandate = body.at("mandate").get<std::uint64_t>();
+          if (mandate >= w.mandate) {
+            w.mandate = mandate;
+            w.last_ok = sent;
+            execute(w, body.at("orders"));
+          }
+          world_.at(net::to_duration(settings_.report * world_.uniform(0.75, 1.25)), [this, name] { report(name); });
+        } else {
+          w.home = (w.home + 1) % nodes_.size();
+          world_.at(1s, [this, name] { report(name); });
+        }
+      });
+    });
+  });
+}
+
+void Cluster::report_soon(Worker& w) {
+  world_.at(500ms, [this, name = w.name] { report(name); });
+}
+
+void Cluster::end_task(Worker& w, Task& t, wire::Cause cause) {
+  if (t.phase == wire::TaskPhase::Running || t.phase == wire::TaskPhase::Saving) rules_.ended(wire::task_name(t.uid, t.index), w.name);
+  t.phase = wire::TaskPhase::Exited;
+  t.cause = cause;
+  if (cause == wire::Cause::Done) rules_.completed(t.uid, t.index);
+  report_soon(w);
+}
+
+void Cluster::image_ready(const std::string& name, std::uint64_t serial) {
+  when_awake(name, [this, serial](Worker& w) {
+    auto it = std::find_if(w.tasks.begin(), w.tasks.end(), [&](auto& t) { return t.serial == serial; });
+    if (it == w.tasks.end() || it->phase != wire::TaskPhase::Fetching) return;
+    const auto& job = jobs_.at(it->uid);
+    w.images.insert(job.spec.image);
+    it->phase = wire::TaskPhase::Running;
+    rules_.started(wire::task_name(it->uid, it->index), w.name, w.type, w.zone, w.spot);
+    report_soon(w);
+    const bool fails = w.sick || job.always_fails;
+    if (job.spec.service && !fails) return;
+    const auto time = seconds(fails ? 0.3 : job.run_s * world_.uniform(0.7, 1.4));
+    world_.at(time, [this, name = w.name, serial, fails] {
+      when_awake(name, [this, serial, fails](Worker& w) {
+        auto t = std::find_if(w.tasks.begin(), w.tasks.end(), [&](auto& x) { return x.serial == serial; });
+        if (t != w.tasks.end() && t->phase == wire::TaskPhase::Running) end_task(w, *t, fails ? wire::Cause::Error : wire::Cause::Done);
+      });
+    });
+  });
+}
+
+void Cluster::execute(Worker& w, const json& list) {
+  for (const auto& entry : list) {
+    const auto o = *wire::parse_order(entry);
+    auto it = std::find_if(w.tasks.begin(), w.tasks.end(), [&](auto& t) { return t.uid == o.uid && t.index == o.index && t.attempt == o.attempt; });
+    if (o.verb == wire::Verb::Clear) {
+      if (it != w.tasks.end() && it->phase == wire::TaskPhase::Exited) w.tasks.erase(it);
+    } else if (o.verb == wire::Verb::Kill) {
+      if (it != w.tasks.end() && it->phase != wire::TaskPhase::Exited) end_task(w, *it, wire::Cause::Halted);
+    } else if (it == w.tasks.end()) {
+      Task t;
+      t.uid = o.uid;
+      t.index = o.index;
+      t.attempt = o.attempt;
+      t.serial = next_serial_++;
+      const bool busy = std::any_of(w.tasks.begin(), w.tasks.end(), [&](auto& x) {
+        return x.uid == o.uid && x.index == o.index && x.phase != wire::TaskPhase::Exited;
+      });
+      const auto job = jobs_.find(o.uid);
+      if (job == jobs_.end() || busy || free_cpus(w) + 1e-6 < job->second.spec.cpus) {
+        t.phase = wire::TaskPhase::Exited;
+        t.cause = job == jobs_.end() ? wire::Cause::NoSuch : busy ? wire::Cause::InUse : wire::Cause::Full;
+        if (job == jobs_.end()) continue;
+        w.tasks.push_back(t);
+      } else {
+        w.tasks.push_back(t);
+        const auto fetch = w.images.contains(job->second.spec.image) ? 0s : seconds(world_.uniform(0.5, 4));
+        world_.at(fetch, [this, name = w.name, serial = t.serial] { image_ready(name, serial); });
+      }
+      report_soon(w);
+    }
+  }
+}
+
+void Cluster::orders(const std::string& name, const net::HttpRequest& request, const StateService::Answer& answer) {
+  auto found = workers_.find(name);
+  if (found == workers_.end()) return;
+  when_awake(name, [this, request, answer](Worker& w) {
+    const auto body = json::parse(request.body);
+    const auto mandate = body.at("mandate").get<std::uint64_t>();
+    if (mandate < w.mandate || body.at("tenure").get<std::uint64_t>() != w.tenure)
+      return answer({409, true, wire::to_json(account(w)).dump()});
+    w.mandate = mandate;
+    execute(w, body.at("orders"));
+    answer({200, true, wire::to_json(account(w)).dump()});
+  });
+}
+
+void Cluster::hang(Duration time) {
+  std::vector<std::string> up;
+  for (const auto& [name, w] : workers_)
+    if (w.up && !w.hung) up.push_back(name);
+  if (up.empty()) return;
+  const auto name = up[world_.below(up.size())];
+  workers_.at(name).hung = true;
+  world_.at(time, [this, name] {
+    auto& w = workers_.at(name);
+    w.hung = false;
+    if (!w.up) return;
+    check_lease(w);
+    for (auto& act : std::exchange(w.while_hung, {})) act();
+    if (w.in_flight == 0) report(name);
+  });
+}
+
+void Cluster::take_machine(bool notice) {
+  std::vector<std::string> spot;
+  for (const auto& [name, w] : workers_)
+    if (w.up && w.spot) spot.push_back(name);
+  if (spot.empty()) return;
+  auto& w = workers_.at(spot[world_.below(spot.size())]);
+  if (!notice) return remove_worker(w);
+  w.notice = 5;
+  report_soon(w);
+  world_.at(5s, [this, name = w.name] { remove_worker(workers_.at(name)); });
+}
+
+void Cluster::make_sick(Duration time) {
+  for (auto& [name, w] : workers_) {
+    if (!w.up || w.sick || !world_.chance(0.3)) continue;
+    w.sick = true;
+    world_.at(time, [this, name = name] { workers_.at(name).sick = false; });
+    return;
+  }
+}
+
+void Cluster::random_trouble() {
+  const auto node = world_.below(nodes_.size());
+  const auto time = seconds(world_.uniform(2, 30));
+  const bool hold = world_.chance(0.5);
+  switch (world_.below(12)) {
+    case 0: return crash(node, seconds(world_.uniform(0.5, 15)));
+    case 1:
+      for (std::size_t i = 0; i < nodes_.size(); ++i) crash(i, seconds(world_.uniform(1, 6)));
+      return;
+    case 2:
+      for (auto side : {Side::State, Side::Cloud, Side::Workers, Side::Peers}) cut(node, side, hold, time);
+      return;
+    case 3: return cut(node, Side::State, hold, time);
+    case 4: return cut(node, Side::Workers, hold, time);
+    case 5: return cut(node, Side::Peers, hold, time);
+    case 6: return state_outage(seconds(world_.uniform(1, 20)));
+    case 7: return cloud_outage(time);
+    case 8: return hang(seconds(world_.uniform(1, 25)));
+    case 9: return take_machine(world_.chance(0.5));
+    case 10: return make_sick(time);
+    default:  // one after the other
+      for (std::size_t i = 0; i < nodes_.size(); ++i) world_.at(seconds(4.0 * static_cast<double>(i)), [this, i] { crash(i, 1s); });
+  }
+}
+
+// ---- users ----
+
+wire::JobSpec Cluster::random_job() {
+  wire::JobSpec s;
+  char text[16];
+  std::snprintf(text, sizeof text, "wk-%06u", static_cast<unsigned>(next_job_++));
+  s.uid = text;
+  s.workload = "w";
+  s.team = world_.chance(0.5) ? "red" : "blue";
+  s.service = world_.chance(0.25);
+  s.rank = s.service ? wire::Rank::Production : world_.chance(0.5) ? wire::Rank::Standard : wire::Rank::Low;
+  s.tasks = s.service ? 1 + static_cast<std::uint32_t>(world_.below(3)) : 1 + static_cast<std::uint32_t>(world_.below(20));
+  s.cpus = world_.chance(0.5) ? 2 : 4;
+  s.ram_gb = 2;
+  s.image = "img-" + std::to_string(world_.below(3));
+  s.image_gb = 1;
+  s.spot = !s.service && world_.chance(0.7);
+  s.spread = s.service && world_.chance(0.5);
+  s.one_zone = !s.service && world_.chance(0.2);
+  if (world_.chance(0.15)) s.zone = settings_.zones[world_.below(3)];
+  if (s.zone) s.spread = false;
+  if (world_.chance(0.15)) s.types = std::vector<std::string>{kKinds[world_.below(2)].name};
+  s.estimate = wire::Seconds(s.service ? 0 : world_.chance(0.3) ? 70 : world_.uniform(5, 40));
+  return s;
+}
+
+void Cluster::arrive() {
+  if (arrivals_) submit(random_job(), world_.chance(0.25));
+  world_.at(seconds(-options_.lambda_s * std::log(world_.uniform(0.01, 1))), [this] { arrive(); });
+}
+
+void Cluster::submit(wire::JobSpec spec, bool cancelled) {
+  const auto uid = spec.uid;
+  auto& job = jobs_[uid];
+  job.spec = spec;
+  job.run_s = std::max(2.0, spec.estimate.count() * world_.uniform(0.4, 1.6));
+  job.always_fails = !spec.service && world_.chance(0.04);
+  job.last_answer = world_.now();
+  rules_.submitted(spec);
+  try_submit(uid);
+  // Services and jobs that always fail run until they are cancelled.
+  if (cancelled || spec.service || job.always_fails) world_.at(seconds(world_.uniform(1, spec.service ? 200 : 60)), [this, uid] { cancel(uid); });
+  // Nobody submitted this one.
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/wk-9" + uid.substr(4), {}}, 2s,
+                [this, uid](net::HttpResult r) { rules_.told("wk-9" + uid.substr(4), r.status, ""); });
+}
+
+void Cluster::try_submit(const std::string& uid) {
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"POST", "/submissions", wire::to_json(jobs_.at(uid).spec).dump()}, 5s,
+                [this, uid](net::HttpResult r) {
+                  auto& job = jobs_.at(uid);
+                  rules_.resubmitted(uid, r.status);
+                  if (r.status != 200 && r.status != 201) {
+                    if (r.status != 400 && r.status != 422) world_.at(seconds(world_.uniform(1, 2)), [this, uid] { try_submit(uid); });
+                    return;
+                  }
+                  if (job.accepted) return;
+                  job.accepted = true;
+                  rules_.accepted(uid);
+                  world_.at(seconds(world_.uniform(0.1, 3)), [this, uid] { poll(uid); });
+                  if (world_.chance(0.3)) world_.at(seconds(world_.uniform(1, 40)), [this, uid] { try_submit(uid); });  // a late repeat
+                });
+}
+
+void Cluster::poll(const std::string& uid) {
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/" + uid, {}}, 2s, [this, uid](net::HttpResult r) {
+    auto& job = jobs_.at(uid);
+    const auto body = json::parse(r.body, nullptr, false);
+    const auto phase = body.is_object() ? body.value("phase", "") : "";
+    rules_.told(uid, r.status, phase);
+    if (r.status == 200) job.final = phase == "done" || phase == "cancelled" ? phase : job.final;
+    const auto again = job.final.empty() ? world_.uniform(2, 5) : world_.uniform(20, 60);
+    world_.at(seconds(again), [this, uid] { poll(uid); });
+  });
+}
+
+void Cluster::cancel(const std::string& uid) {
+  if (!jobs_.at(uid).accepted) return void(world_.at(3s, [this, uid] { cancel(uid); }));
+  rules_.asked_to_cancel(uid);
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"POST", "/submissions/" + uid + "/abort", {}}, 5s, [this, uid](net::HttpResult r) {
+    const auto body = json::parse(r.body, nullptr, false);
+    const auto phase = body.is_object() ? body.value("phase", "") : "";
+    rules_.told(uid, r.status, phase);
+    if (r.status != 200) world_.at(seconds(world_.uniform(1, 2)), [this, uid] { cancel(uid); });
+  });
+}
+
+std::vector<std::string> Cluster::unfinished() const {
+  std::vector<std::string> out;
+  for (const auto& [uid, job] : jobs_)
+    if (!job.spec.service && !job.always_fails && job.final.empty()) out.push_back(uid);
+  return out;
+}
+}  // namespace limemast::standins
--- /dev/null
+++ b/tests/standins/cluster.hpp
@@ -0,0 +1,134 @@
+#pragma once
+#include <deque>
+#include <set>
+
+#include "app/controller.hpp"
+#include "standins/rules.hpp"
+#include "standins/state_service.hpp"
+#include "wire/worker.hpp"
+
+namespace limemast::standins {
+/// A whole deployment in simulated time: controllers (the real ones), workers, cloud, state service and users.
+class Cluster {
+ public:
+  enum class Side { State, Cloud, Workers, Peers };
+
+  struct Options {
+    std::size_t controllers = 3;
+    std::size_t log_size = 10'000;
+    double lambda_s = 6;  ///< mean time between submissions
+  };
+  Cluster(World& world, wire::Settings settings, Options options);
+  ~Cluster();
+
+  void run(Duration time);
+  Rules& rules() { return rules_; }
+  StateService& state() { return state_; }
+
+  // Troubles.
+  void crash(std::size_t node, Duration back_after);
+  void cut(std::size_t node, Side side, bool hold, Duration time);
+  void state_outage(Duration time);
+  void cloud_outage(Duration time);
+  void hang(Duration time);
+  void take_machine(bool notice);
+  void make_sick(Duration time);
+  void random_trouble();
+
+  void submit(wire::JobSpec spec, bool cancel = false);
+  wire::JobSpec random_job();
+  void stop_arrivals() { arrivals_ = false; }
+  /// Array jobs that are not over yet, and replicas of services that do not run.
+  std::vector<std::string> unfinished() const;
+  std::size_t up_controllers() const;
+  const app::Node* node(std::size_t i) const { return nodes_[i].controller ? &nodes_[i].controller->node() : nullptr; }
+  void ask(std::size_t node, const net::HttpRequest& request, net::Responder respond);
+
+ private:
+  class Runtime;
+  struct Task {
+    std::string uid;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    wire::TaskPhase phase = wire::TaskPhase::Fetching;
+    wire::Cause cause = wire::Cause::None;
+    std::uint64_t serial = 0;
+  };
+  struct Worker {
+    std::string name, type, zone, address;
+    bool spot = false, up = false, hung = false, sick = false, gone = false;
+    std::uint64_t tenure = 1, tick = 0, mandate = 0, serial = 0;
+    std::size_t home = 0;
+    Time last_ok{};
+    std::uint64_t in_flight = 0;
+    std::optional<double> notice;
+    std::vector<Task> tasks;
+    std::set<std::string> images;
+    std::deque<std::function<void()>> while_hung;
+    Time rented{};
+  };
+  struct NodeProcess {
+    std::unique_ptr<Runtime> runtime;
+    std::unique_ptr<app::Controller> controller;
+    wire::Settings settings;
+    std::map<Side, int> cut;
+    std::map<Side, std::vector<std::function<void()>>> held;
+    bool hold = false;
+    std::uint64_t start = 0;
+  };
+  struct UserJob {
+    wire::JobSpec spec;
+    double run_s = 0;
+    bool always_fails = false;
+    bool accepted = false;
+    std::string final;
+    Time last_answer{};
+  };
+
+  void start(std::size_t node);
+  void link(std::size_t node, Side side, std::function<void()> deliver);
+  Duration latency() { return seconds(world_.uniform(0.001, 0.01)); }
+  void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout, std::function<void(net::HttpResult)> done);
+
+  void cloud(const net::HttpRequest& request, const StateService::Answer& answer);
+  void snapshot();
+  void boot(const std::string& name);
+  void remove_worker(Worker& w);
+
+  void report(const std::string& name);
+  void report_soon(Worker& w);
+  wire::Report account(Worker& w);
+  void execute(Worker& w, const json& orders);
+  void drop_all(Worker& w);
+  void check_lease(Worker& w);
+  void when_awake(const std::string& name, std::function<void(Worker&)> act);
+  void end_task(Worker& w, Task& t, wire::Cause cause);
+  void image_ready(const std::string& name, std::uint64_t serial);
+  void orders(const std::string& name, const net::HttpRequest& request, const StateService::Answer& answer);
+  double free_cpus(const Worker& w) const;
+
+  void arrive();
+  void try_submit(const std::string& uid);
+  void poll(const std::string& uid);
+  void cancel(const std::string& uid);
+
+  World& world_;
+  wire::Settings settings_;
+  Options options_;
+  StateService state_;
+  Rules rules_;
+  std::vector<NodeProcess> nodes_;
+  std::map<std::string, Worker> workers_;
+  std::map<std::string, UserJob> jobs_;
+  std::map<std::string, json> hires_;
+  std::deque<json> snapshots_;
+  bool cloud_down_ = false;
+  bool arrivals_ = true;
+  int outages_ = 0;
+  std::uint64_t next_machine_ = 1;
+  std::uint64_t next_job_ = 1;
+  std::uint64_t next_serial_ = 1;
+};
+
+wire::Settings settings_for_tests();
+}  // namespace limemast::standins
--- /dev/null
+++ b/tests/standins/state_service.cpp
@@ -0,0 +1,149 @@
+#include "standins/state_service.hpp"
+
+namespace limemast::standins {
+namespace {
+std::string parameter(const std::string& path, const std::string& name) {
+  const auto query = path.find('?');
+  auto at = path.find(name + "=", query == std::string::npos ? path.size() : query);
+  if (at == std::string::npos) return {};
+  at += name.size() + 1;
+  return path.substr(at, path.find('&', at) - at);
+}
+net::HttpResult reply(int status, const json& body = json::object()) { return {status, true, body.dump()}; }
+}  // namespace
+
+void StateService::set_outage(bool on) {
+  if (outage_ && !on)
+    for (auto& [id, g] : grants_) g.ends = world_.now() + g.ttl;  // all get their full time again
+  outage_ = on;
+  if (!on) wake();
+}
+
+void StateService::log(Event event) {
+  log_.push_back(std::move(event));
+  while (log_.size() > log_size_) {
+    forgotten_ = log_.front().stamp;
+    log_.pop_front();
+  }
+}
+void StateService::apply(const std::string& key, json value, std::uint64_t permit, std::uint64_t stamp) {
+  log({key, stamp, false, value});
+  entries_[key] = {std::move(value), stamp, permit};
+}
+void StateService::erase(const std::string& key, std::uint64_t stamp) {
+  if (entries_.erase(key) > 0) log({key, stamp, true, {}});
+}
+
+void StateService::end_grant(std::uint64_t id) {
+  if (grants_.erase(id) == 0) return;
+  std::vector<std::string> keys;
+  for (const auto& [key, e] : entries_)
+    if (e.permit == id) keys.push_back(key);
+  if (keys.empty()) return;
+  ++epoch_;
+  for (const auto& key : keys) erase(key, epoch_);
+  wake();
+}
+
+void StateService::check_grants() {
+  if (outage_) return;
+  std::vector<std::uint64_t> ended;
+  for (const auto& [id, g] : grants_)
+    if (g.ends <= world_.now()) ended.push_back(id);
+  for (auto id : ended) end_grant(id);
+}
+
+bool StateService::try_watch(const Watch& w, bool last) {
+  if (w.from < forgotten_) return w.answer(reply(410)), true;
+  json news = json::array();
+  for (const auto& e : log_) {
+    if (e.stamp <= w.from || e.key.compare(0, w.prefix.size(), w.prefix) != 0) continue;
+    news.push_back(e.removed ? json{{"remove", e.key}, {"stamp", e.stamp}} : json{{"set", e.key}, {"v", e.value}, {"stamp", e.stamp}});
+  }
+  if (news.empty() && !last) return false;
+  w.answer(reply(200, {{"epoch", epoch_}, {"news", news}}));
+  return true;
+}
+
+void StateService::wake() {
+  if (outage_) return;
+  std::erase_if(watches_, [&](auto& w) { return try_watch(w.second, false); });
+}
+
+void StateService::handle(const net::HttpRequest& r, Answer answer) {
+  check_grants();
+  const auto body = json::parse(r.body, nullptr, false);
+  const auto path = r.path.substr(0, r.path.find('?'));
+  if (outage_) return answer(reply(503));
+  if (path == "/changes") {
+    const auto id = next_watch_++;
+    Watch w{parameter(r.path, "prefix"), std::stoull(parameter(r.path, "from")), std::move(answer)};
+    if (try_watch(w, false)) return;
+    watches_.emplace(id, std::move(w));
+    world_.at(std::chrono::milliseconds(std::stoll("0" + parameter(r.path, "waitMs"))), [this, id] {
+      auto it = watches_.find(id);
+      if (it == watches_.end() || outage_) return;
+      try_watch(it->second, true);
+      watches_.erase(it);
+    });
+  } else if (path == "/keys") {
+    const auto prefix = parameter(r.path, "prefix");
+    const auto from = parameter(r.path, "from");
+    const auto limit = std::stoul(parameter(r.path, "limit"));
+    json entries = json::array();
+    bool truncated = false;
+    for (const auto& [key, e] : entries_) {
+      if (key.compare(0, prefix.size(), prefix) != 0 || (!from.empty() && key <= from)) continue;
+      if (entries.size() >= limit) {
+        truncated = true;
+        break;
+      }
+      entries.push_back({{"key", key}, {"v", e.value}, {"stamp", e.stamp}});
+    }
+    answer(reply(200, {{"entries", entries}, {"truncated", truncated}, {"epoch", epoch_}}));
+  } else if (path.rfind("/keys/", 0) == 0) {
+    auto it = entries_.find(path.substr(6));
+    if (it == entries_.end()) return answer(reply(404, {{"epoch", epoch_}}));
+    json out{{"key", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}};
+    if (it->second.permit != 0) out["permit"] = it->second.permit;
+    answer(reply(200, out));
+  } else if (path == "/txn") {
+    txn(body, answer);
+  } else if (path == "/grants") {
+    const auto ttl = std::chrono::milliseconds(body.at("ttlMs").get<std::int64_t>());
+    const auto id = next_grant_++;
+    grants_[id] = {ttl, world_.now() + ttl};
+    answer(reply(200, {{"permit", id}}));
+  } else {
+    const auto id = std::stoull(path.substr(8));
+    auto it = grants_.find(id);
+    if (it == grants_.end()) return answer(reply(404));
+    if (r.method == "DELETE")
+      end_grant(id);
+    else
+      it->second.ends = world_.now() + it->second.ttl;
+    answer(reply(200));
+  }
+}
+
+void StateService::txn(const json& body, const Answer& answer) {
+  for (const auto& w : body.at("writes"))
+    if (auto p = w.find("permit"); p != w.end() && !grants_.contains(p->get<std::uint64_t>()))
+      return answer(reply(400, {{"error", "no such lease"}}));
+  json failed = json::array();
+  for (const auto& c : body.at("when")) {
+    auto it = entries_.find(c.at("key").get<std::string>());
+    if ((it == entries_.end() ? 0 : it->second.stamp) != c.at("stamp").get<std::uint64_t>()) failed.push_back(c.at("key"));
+  }
+  if (!failed.empty()) return answer(reply(409, {{"failed", failed}, {"epoch", epoch_}}));
+  ++epoch_;
+  for (const auto& w : body.at("writes")) {
+    if (w.contains("remove"))
+      erase(w["remove"].get<std::string>(), epoch_);
+    else
+      apply(w.at("set").get<std::string>(), w.at("v"), w.value("permit", std::uint64_t{0}), epoch_);
+  }
+  answer(reply(200, {{"epoch", epoch_}}));
+  wake();
+}
+}  // namespace limemast::standins
--- /dev/null
+++ b/tests/standins/state_service.hpp
@@ -0,0 +1,66 @@
+#pragma once
+#include <deque>
+
+#include "standins/world.hpp"
+
+namespace limemast::standins {
+/// The state service after PROTOCOL: keys, conditional transactions, grants, watches, outages.
+class StateService {
+ public:
+  using Answer = std::function<void(net::HttpResult)>;
+  explicit StateService(World& world, std::size_t log_size = 10'000) : world_(world), log_size_(log_size) {}
+
+  void handle(const net::HttpRequest& request, Answer answer);
+  void set_outage(bool on);
+  std::size_t keys() const { return entries_.size(); }
+  const json* value(const std::string& key) const {
+    auto it = entries_.find(key);
+    return it == entries_.end() ? nullptr : &it->second.value;
+  }
+  /// Writes from outside, as any client could.
+  void put(const std::string& key, json value) { apply(key, std::move(value), 0, ++epoch_), wake(); }
+  void remove(const std::string& key) { erase(key, ++epoch_), wake(); }
+
+ private:
+  struct Entry {
+    json value;
+    std::uint64_t stamp = 0;
+    std::uint64_t permit = 0;
+  };
+  struct Grant {
+    Duration ttl{};
+    Time ends{};
+  };
+  struct Watch {
+    std::string prefix;
+    std::uint64_t from = 0;
+    Answer answer;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t stamp = 0;
+    bool removed = false;
+    json value;
+  };
+  void apply(const std::string& key, json value, std::uint64_t permit, std::uint64_t stamp);
+  void erase(const std::string& key, std::uint64_t stamp);
+  void log(Event event);
+  void end_grant(std::uint64_t id);
+  void check_grants();
+  void wake();
+  bool try_watch(const Watch& w, bool last);
+  void txn(const json& body, const Answer& answer);
+
+  World& world_;
+  std::size_t log_size_;
+  bool outage_ = false;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t next_grant_ = 1;
+  std::uint64_t next_watch_ = 1;
+  std::map<std::string, Entry> entries_;
+  std::map<std::uint64_t, Grant> grants_;
+  std::map<std::uint64_t, Watch> watches_;
+  std::deque<Event> log_;
+  std::uint64_t forgotten_ = 0;  ///< changes up to this revision are no longer in the log
+};
+}  // namespace limemast::standins
--- /dev/null
+++ b/tests/standins/world.hpp
@@ -0,0 +1,53 @@
+#pragma once
+#include <map>
+#include <memory>
+
+#include "net/runtime.hpp"
+
+namespace limemast::standins {
+using net::Duration;
+using net::Time;
+using wire::json;
+using namespace std::chrono_literals;
+
+/// Simulated time and chance. Events of one moment run in the order in which they were made.
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random(seed) {}
+  Time now() const { return now_; }
+  net::WallTime wall() const { return net::WallTime(1'700'000'000s) + std::chrono::duration_cast<net::WallTime::duration>(now_ - start()); }
+  static Time start() { return Time(1000s); }
+  std::uint64_t at(Duration delay, std::function<void()> fire) {
+    const auto id = next_++;
+    events_.emplace(std::pair{now_ + std::max(delay, Duration::zero()), id}, std::move(fire));
+    return id;
+  }
+  void cancel(std::uint64_t id) {
+    for (auto it = events_.begin(); it != events_.end(); ++it)
+      if (it->first.second == id) return void(events_.erase(it));
+  }
+  /// Runs one event; false if none is due before `until`.
+  bool step(Time until) {
+    if (events_.empty() || events_.begin()->first.first > until) {
+      now_ = until;
+      return false;
+    }
+    auto node = events_.extract(events_.begin());
+    now_ = node.key().first;
+    node.mapped()();
+    return true;
+  }
+  double uniform(double low, double high) { return std::uniform_real_distribution<>(low, high)(random); }
+  std::size_t below(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(random); }
+  bool chance(double p) { return uniform(0, 1) < p; }
+
+  std::mt19937_64 random;
+
+ private:
+  Time now_ = start();
+  std::uint64_t next_ = 1;
+  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> events_;
+};
+
+inline Duration seconds(double s) { return net::to_duration(wire::Seconds(s)); }
+}  // namespace limemast::standins
