--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -180,9 +180,10 @@
   const auto* old = mirror_.find(keys::kGeneration);
   client_.txn(store::Priority::Vital,
               {{keys::kGeneration, old ? old->stamp : 0}, {keys::kLeader, leader->stamp}, {keys::node(settings_.label), node_stamp_}},
-              {{keys::kGeneration, json{{"leader", self_}, {"members", members}}}}, [this](store::TxnResult r) {
+              {{keys::kGeneration, json{{"leader", self_}, {"members", members}}}}, [this](store::TxnResult) {
                 writing_ = false;
-                if (r.verdict != store::Verdict::Ok) runtime_.after(kRetry, [this] { elect(); });
+                // Also after success: whoever joined while the record was being written is not in it.
+                runtime_.after(kRetry, [this] { elect(); });
               });
 }
 }  // namespace limemast::cluster
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -56,6 +56,7 @@
   const auto& generation = membership_.generation();
   if (!membership_.member(membership_.self())) return;
   bool inherited = false;
+  bool gated = false;
   for (const auto& [uid, open] : index_.all()) {
     if (open.ended || jobs_.contains(uid) || index_.owner_of(uid) != membership_.self()) continue;
     auto job = std::make_unique<Job>();
@@ -67,6 +68,7 @@
     if (!ours_from_birth) {
       // Some run that is lost may have handed tasks out: wait until every machine has shown what it holds.
       job->gate = generation.number;
+      gated = true;
       job->progress_known = open.spec.service;
       inherited = inherited || !job->progress_known;
       job->dirty = true;
@@ -76,6 +78,17 @@
     if (!open.is_long && membership_.entitled()) probe(entry);
   }
   if (inherited) load_progress();
+  // A machine may have shown the new generation before we read of it: what it holds must be taken over all the same.
+  if (gated)
+    for (const auto& [name, view] : registry_.views()) on_view(name);
+}
+
+bool Book::all_known_since(std::uint64_t generation) const {
+  const auto base = cluster::mandate_base(generation);
+  return std::all_of(registry_.all_registered().begin(), registry_.all_registered().end(), [&](const std::string& name) {
+    auto it = read_.find(name);
+    return it != read_.end() && it->second >= base;
+  });
 }
 
 void Book::load_progress() {
@@ -195,12 +208,16 @@
     b.void_from = cluster::mandate_base(job->gate);
     b.running = t.phase != wire::TaskPhase::Fetching;
     b.since = runtime_.now();
+    spdlog::debug("job {} task {} found on {}, generation {}", t.uid, t.index, machine, membership_.generation().number);
     job->bound.emplace(t.index, std::move(b));
     std::erase(job->returned, t.index);
     ++job->zones[r.zone];
     on_machine_[machine].insert({t.uid, t.index});
     budgets_.use(job->open.spec.team, machines::Room::of(job->open.spec));
   }
+  // Only now, with all that it shows taken over, does the machine count as known: the registry is ahead of us by a
+  // message, and a task handed out in between would run twice.
+  read_[machine] = r.mandate;
 }
 
 void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb) {
@@ -245,6 +262,7 @@
       if (auto* job = find(uid)) unbind(*job, index, true);
     on_machine_.erase(machine);
   }
+  read_.erase(machine);
   for (auto& [uid, job] : jobs_) job->probes.erase(machine);
 }
 
@@ -252,7 +270,7 @@
 
 bool Book::may_hand_out(const Job& job) const {
   return membership_.entitled() && job.alive() && job.progress_known && runtime_.now() >= job.not_before &&
-         (job.gate == 0 || registry_.all_known_since(job.gate));
+         (job.gate == 0 || all_known_since(job.gate));
 }
 
 bool Book::may_place(const Job& job, const View& view, bool budget) {
@@ -290,6 +308,7 @@
   b.attempt = membership_.generation().number << kAttemptBits | ++attempts_;
   b.deliverer = view.host;
   b.since = b.asked = runtime_.now();
+  spdlog::debug("{} job {} task {} handed to {} by {} gate {}, generation {}", membership_.self(), s.uid, index, b.machine, b.deliverer, job.gate, membership_.generation().number);
   ++job.zones[b.zone];
   on_machine_[b.machine].insert({s.uid, index});
   budgets_.use(s.team, machines::Room::of(s));
@@ -305,6 +324,8 @@
   auto it = job.bound.find(index);
   if (it == job.bound.end()) return;
   const auto& b = it->second;
+  spdlog::debug("job {} task {} is off {} (settled {}, tick {}, void from {}), generation {}", job.open.spec.uid, index, b.machine, b.settled,
+                b.settled_tick, b.void_from, membership_.generation().number);
   if (auto z = job.zones.find(b.zone); z != job.zones.end() && --z->second == 0) job.zones.erase(z);
   if (auto m = on_machine_.find(b.machine); m != on_machine_.end()) m->second.erase({job.open.spec.uid, index});
   budgets_.release(job.open.spec.team, machines::Room::of(job.open.spec));
@@ -556,8 +577,8 @@
   }
   for (const auto& uid : finished) jobs_.erase(uid);
   const bool rebuilt = std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-    return j.second->over || j.second->gate == 0 || (j.second->progress_known && registry_.all_known_since(j.second->gate));
-  }) && registry_.all_known_since(membership_.generation().number);
+    return j.second->over || j.second->gate == 0 || (j.second->progress_known && all_known_since(j.second->gate));
+  }) && all_known_since(membership_.generation().number);
   budgets_.tick(rebuilt);
   record_progress();
   std::erase_if(unknown_since_, [&](const auto& u) { return now - u.second > 60s; });
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -89,6 +89,8 @@
 
  private:
   Job* find(const std::string& uid);
+  /// True once every registered machine has shown a mandate of `generation` and all on it is in this book.
+  bool all_known_since(std::uint64_t generation) const;
   void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
   void unbind(Job& job, std::uint32_t index, bool todo);
   std::optional<std::uint32_t> next_task(Job& job);
@@ -122,6 +124,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::set<std::pair<std::string, std::uint32_t>>> on_machine_;
   std::map<std::string, net::Time> unknown_since_;  ///< tasks of jobs that we do not know yet
+  std::map<std::string, std::uint64_t> read_;  ///< machine -> mandate of the newest report taken over
   std::map<std::string, net::Time> refused_;
   std::uint64_t attempts_ = 0;
   net::Time last_record_{};
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -68,11 +68,4 @@
   auto it = images_.find(machine);
   return it != images_.end() && it->second.contains(image);
 }
-
-bool Registry::all_known_since(std::uint64_t generation) const {
-  return std::all_of(registered_.begin(), registered_.end(), [&](const std::string& name) {
-    const auto* view = find(name);
-    return view && view->report.mandate >= cluster::mandate_base(generation);
-  });
-}
 }  // namespace limemast::machines
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -76,9 +76,6 @@
   /// Images that tasks have run from on this machine, as far as was seen.
   bool has_image(const std::string& machine, const std::string& image) const;
 
-  /// True once every registered machine has shown a mandate of `generation`: all that runs is known then.
-  bool all_known_since(std::uint64_t generation) const;
-
   LongMap& long_map() { return long_map_; }
   const LongMap& long_map() const { return long_map_; }
 
