--- a/src/cluster/job_index.hpp
+++ b/src/cluster/job_index.hpp
@@ -13,6 +13,7 @@
   bool is_long = false;
   net::WallTime submitted{};
   std::uint64_t stamp = 0;
+  bool spec_known = true;
   bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
   net::Time ended_at{};
 };
@@ -58,6 +59,15 @@
     it->second.ended = true;
     it->second.ended_at = now;
   }
+  /// The state service itself says that this job, of which a machine still runs a task, has no open record.
+  void ended_before_our_time(const std::string& uid, net::Time now) {
+    if (jobs_.contains(uid)) return;
+    auto& job = jobs_[uid];
+    job.spec.uid = uid;
+    job.spec_known = false;
+    job.ended = true;
+    job.ended_at = now;
+  }
   /// Forgets jobs that ended so long ago that nothing of them can be on a machine.
   void prune(net::Time before) {
     std::erase_if(jobs_, [&](const auto& j) { return j.second.ended && j.second.ended_at < before; });
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -15,8 +15,6 @@
 constexpr auto kFailedOn = 30s;
 constexpr auto kFailurePause = 250ms;
 constexpr unsigned kMaxDoublings = 7;
-/// The mirror may lag behind a controller that started a task: no task is a stray before this.
-constexpr auto kUnknownGrace = 10s;
 constexpr unsigned kAttemptBits = 24;
 }  // namespace
 
@@ -172,14 +170,7 @@
   for (const auto& t : r.tasks) {
     if (index_.owner_of(t.uid) != membership_.self()) continue;
     auto* job = find(t.uid);
-    const auto* known = index_.find(t.uid);
-    if (!job) {
-      if (known) continue;  // ended: whoever hears the machine sees to it; or not taken up yet
-      auto [since, fresh] = unknown_since_.try_emplace(t.uid, runtime_.now());
-      if (!fresh && runtime_.now() - since->second > kUnknownGrace && membership_.entitled())
-        order(machine, t, t.exited() ? wire::Verb::Clear : wire::Verb::Kill);
-      continue;
-    }
+    if (!job) continue;  // ended, which whoever hears the machine sees to; or not taken up yet
     if (job->over || t.index >= job->open.spec.tasks || !membership_.entitled()) continue;
     auto found = job->bound.find(t.index);
     const bool is_bound = found != job->bound.end() && found->second.machine == machine && found->second.attempt == t.attempt;
@@ -581,6 +572,5 @@
   }) && all_known_since(membership_.generation().number);
   budgets_.tick(rebuilt);
   record_progress();
-  std::erase_if(unknown_since_, [&](const auto& u) { return now - u.second > 60s; });
 }
 }  // namespace limemast::jobs
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -123,7 +123,6 @@
   ProgressLog progress_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::set<std::pair<std::string, std::uint32_t>>> on_machine_;
-  std::map<std::string, net::Time> unknown_since_;  ///< tasks of jobs that we do not know yet
   std::map<std::string, std::uint64_t> read_;  ///< machine -> mandate of the newest report taken over
   std::map<std::string, net::Time> refused_;
   std::uint64_t attempts_ = 0;
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -17,6 +17,7 @@
 /// Orders between controllers that are older than this are refused: a held link may let them out minutes late.
 constexpr auto kOrderAge = 8s;
 constexpr auto kRefusedKept = 120s;
+constexpr auto kLookAgain = 2s;
 }  // namespace
 
 Host::Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
@@ -173,6 +174,7 @@
   // cut off from its peers alone still carries out cancellations.
   for (const auto& t : view.report.tasks) {
     const auto* job = jobs_.find(t.uid);
+    if (!job) look_into(t.uid);
     if (!job || !job->ended) continue;
     if (!t.exited()) {
       h.outbox.push_back({wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
@@ -191,6 +193,18 @@
   });
 }
 
+void Host::look_into(const std::string& uid) {
+  // A job's record is written before its first task starts. If we do not know it, either we lag behind, or it ended
+  // before we joined: then no controller that remembers it may be left to end its tasks.
+  const auto now = runtime_.now();
+  auto [asked, fresh] = looked_into_.try_emplace(uid, now);
+  if (!fresh && now - asked->second < kLookAgain) return;
+  asked->second = now;
+  client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid](store::GetResult g) {
+    if (g.answered && !g.found) jobs_.ended_before_our_time(uid, runtime_.now());
+  });
+}
+
 std::uint64_t Host::mandate_for(const Hosted& h, const View& view) const {
   return std::max({cluster::mandate_base(membership_.generation().number), h.fence, view.report.mandate});
 }
@@ -511,6 +525,7 @@
     if (h.pull && !h.probes.find(h.pull->uid)) h.pull.reset();
   }
   const auto limit = runtime_.now() - kRefusedKept;
+  looked_into_.clear();
   std::erase_if(refused_, [&](const auto& r) { return r.second < limit; });
 }
 
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -63,6 +63,7 @@
   void settle(const std::string& machine, bool hello);
   void tell_settled(const std::string& machine, const Delivery& d, bool present);
   void stray_tasks(const std::string& machine, Hosted& h, const View& view);
+  void look_into(const std::string& uid);
   void answer(const std::string& machine);
   std::uint64_t mandate_for(const Hosted& h, const View& view) const;
   Room room(const std::string& machine, const Hosted& h) const;
@@ -92,6 +93,7 @@
   Registry& registry_;
   Seen seen_;
   std::map<std::string, Hosted> hosted_;
+  std::map<std::string, net::Time> looked_into_;  ///< jobs unknown here, and when the state service was asked
   /// Attempts that we called absent: should their order come after all, it is refused.
   std::map<std::pair<std::string, std::uint64_t>, net::Time> refused_;
 };
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -50,7 +50,7 @@
   for (const auto& t : view.report.tasks) {
     if (t.exited()) continue;
     const auto* job = jobs_.find(t.uid);
-    if (!job) return {};
+    if (!job || !job->spec_known) return {};
     room -= Room::of(job->spec);
   }
   return room;
--- a/tests/standins/rules.hpp
+++ b/tests/standins/rules.hpp
@@ -24,6 +24,8 @@
   void started(const std::string& task, const std::string& machine, const std::string& type, const std::string& zone, bool spot);
   void ended(const std::string& task, const std::string& machine);
   void completed(const std::string& uid, std::uint32_t index) { jobs_.at(uid).completed.insert(index); }
+  /// A machine that hangs executes nothing, so its tasks are not held against anybody until it goes on.
+  void hanging(const std::string& machine, bool on) { on ? (void)hanging_.insert(machine) : (void)hanging_.erase(machine); }
   /// To be called after each step.
   void check_time();
 
@@ -49,6 +51,7 @@
   std::map<std::string, Job> jobs_;
   std::map<std::string, double> used_;
   std::set<std::string> cancelled_;
+  std::set<std::string> hanging_;
   std::map<std::string, std::string> broken_;
   std::size_t starts_ = 0;
 };
