--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -130,6 +130,7 @@
     else if (name == "map_interval_s") t.map_interval = Seconds(between(0.1, 60));
     else if (name == "progress_interval_s") t.progress_interval = Seconds(between(0.5, 60));
     else if (name == "idle_return_s") t.idle_return = Seconds(between(0, 3600));
+    else if (name == "overflow") t.overflow = between(0, 1);
     else throw BadSettings(name + ": unknown setting");
   }
 }
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -207,9 +207,16 @@
   double largest = 0;
   for (const auto& [name, t] : registry_.types()) largest = std::max(largest, t.cpus);
   // Room for what comes next and for the loss of a machine.
-  const double firm_wanted = demand.firm > 0 ? demand.firm * 1.06 + largest / 2 : 0;
+  double firm_wanted = demand.firm > 0 ? demand.firm * 1.06 + largest / 2 : 0;
   if (firm_wanted > have.firm) hire(false, firm_wanted - have.firm, firm_jobs);
-  if (demand.cheap > have.cheap) hire(true, demand.cheap - have.cheap, cheap_jobs);
+  const double spare = std::max(0.0, have.firm - firm_wanted);
+  if (demand.cheap > have.cheap + spare && !hire(true, demand.cheap - have.cheap - spare, cheap_jobs)) {
+    // No spot machine is to be had anywhere: what waits gets ordinary ones.
+    firm_wanted += (demand.cheap - have.cheap) * settings_.tuning.overflow;
+    if (firm_wanted > have.firm) hire(false, firm_wanted - have.firm, cheap_jobs);
+  } else if (demand.cheap > have.cheap) {
+    firm_wanted += std::min(spare, (demand.cheap - have.cheap) * settings_.tuning.overflow);
+  }
 
   // Giving back: what has been idle for a while and is more than is wanted.
   for (auto& [name, m] : machines_) {
@@ -233,9 +240,9 @@
   }
 }
 
-void Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting) {
+bool Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting) {
   const auto now = runtime_.now();
-  if (waiting.empty() || !hires_.empty()) return;
+  if (waiting.empty() || !hires_.empty()) return true;
   struct Offer {
     const wire::MachineType* type;
     std::string zone;
@@ -260,7 +267,7 @@
       offers.push_back({&type, zone, (spot ? type.spot_price : type.price) / used});
     }
   }
-  if (offers.empty()) return;
+  if (offers.empty()) return false;
   // Ordinary machines hold services: they are spread over the zones before the price is looked at.
   std::sort(offers.begin(), offers.end(), [&](const Offer& a, const Offer& b) {
     if (!spot && a.zone != b.zone && std::abs(by_zone[a.zone] - by_zone[b.zone]) > 1e-6) return by_zone[a.zone] < by_zone[b.zone];
@@ -278,6 +285,7 @@
   h.spot = spot;
   h.count = count;
   hires_.push_back(h);
+  return true;
 }
 
 void Fleet::send_hires() {
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -44,7 +44,8 @@
   void on_list(const std::vector<wire::ListedMachine>& listed);
   void watch_health();
   void size();
-  void hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting);
+  /// False if no such machine is to be had at present.
+  bool hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting);
   void send_hires();
   void give_back();
   void release(const std::vector<std::string>& names);
--- a/src/wire/settings.hpp
+++ b/src/wire/settings.hpp
@@ -30,7 +30,7 @@
   Seconds map_interval{2};           ///< how often the leader sends its map of long tasks
   Seconds progress_interval{5};      ///< how often an owner records its progress
   Seconds idle_return{20};           ///< a machine idle for this long is returned
-  Seconds array_patience{0};         ///< how long arrays may wait for room before more is hired; 0: derived
+  double overflow = 0;                 ///< share of the arrays' unmet need for which ordinary machines are hired
 };
 
 struct Settings {
