--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -49,10 +49,10 @@
   for (const auto& [uid, job] : book_.jobs())
     if (job->open.is_long && job->alive() && job->todo() > 0 && book_.may_hand_out(*job)) waiting.push_back(job.get());
   if (waiting.empty()) return;
-  std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
-    return std::tuple(-static_cast<int>(a->open.spec.rank), a->open.submitted, a->open.spec.uid) <
-           std::tuple(-static_cast<int>(b->open.spec.rank), b->open.submitted, b->open.spec.uid);
-  });
+  const auto now = runtime_.wall();
+  std::map<const Job*, Order> order;
+  for (const auto* job : waiting) order.emplace(job, order_of(*job, now));
+  std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) { return order.at(a) < order.at(b); });
   auto free = slots();
   for (const auto* job : waiting) {
     while (job->todo() > 0 && place_one(*job, free)) {
@@ -62,6 +62,26 @@
   }
 }
 
+Placer::Order Placer::order_of(const Job& job, net::WallTime now) const {
+  const auto& s = job.open.spec;
+  // When the job should be complete: its own deadline, or the nearest of its class's aims that it can still meet.
+  std::optional<net::WallTime> target;
+  bool missed = false;
+  auto consider = [&](wire::Seconds within) {
+    const auto at = job.open.submitted + net::to_duration(within);
+    if (now + net::to_duration(s.estimate) > at)
+      missed = true;
+    else if (!target || at < *target)
+      target = at;
+  };
+  if (s.due) consider(*s.due);
+  for (const auto& o : settings_.objectives)
+    if (!s.due && o.kind == "finished" && o.workload == s.workload) consider(o.within);
+  // What cannot be in time any more lets those pass that can; in a backlog everybody would be late otherwise.
+  const int rank = static_cast<int>(s.rank);
+  return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, -rank, target.value_or(net::WallTime::max()), job.open.submitted, s.uid};
+}
+
 bool Placer::place_one(const Job& job, std::map<std::string, Slot>& slots) {
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
