--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -17,6 +17,7 @@
 constexpr auto kCloseFor = 3s;       ///< from closing a machine to giving it back, so that all controllers know
 constexpr double kCallShare = 0.8;   ///< of the cloud's rate; only the leader calls
 constexpr double kBootFactor = 4;    ///< a machine that takes longer than this times its boot time never comes
+constexpr auto kStarved = 4s;        ///< a long job that waits for longer gets machines where it may go
 constexpr std::uint32_t kMaxHire = 50;
 constexpr std::size_t kMaxRelease = 100;
 constexpr std::size_t kSickErrors = 3;
@@ -175,11 +176,6 @@
   const auto now = runtime_.now();
   Demand demand;
   std::vector<const wire::JobSpec*> firm_jobs, cheap_jobs;
-  double spread_tasks = 0;
-  std::unordered_map<std::string, double> on_machines;  // tasks of jobs that other controllers own
-  for (const auto& [name, view] : registry_.views())
-    for (const auto& t : view.report.tasks)
-      if (t.exited() && t.cause == wire::Cause::Done) on_machines[t.uid] += 1;
   for (const auto& [uid, open] : index_.all()) {
     if (open.ended) continue;
     double tasks = open.spec.tasks;
@@ -188,7 +184,6 @@
     if (open.spec.service || !open.spec.spot) {
       demand.firm += cpus;
       firm_jobs.push_back(&open.spec);
-      spread_tasks += tasks;
     } else {
       demand.cheap += cpus;
       cheap_jobs.push_back(&open.spec);
@@ -218,6 +213,8 @@
     firm_wanted += std::min(spare, (demand.cheap - have.cheap) * settings_.tuning.overflow);
   }
 
+  hire_for_starved();
+
   // Giving back: what has been idle for a while and is more than is wanted.
   for (auto& [name, m] : machines_) {
     const auto* type = registry_.type(m.type);
@@ -240,7 +237,34 @@
   }
 }
 
-bool Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting) {
+void Fleet::hire_for_starved() {
+  // Enough CPUs in all may still be none where a job may go: its zone, its type, the half that its spread allows.
+  const auto now = runtime_.now();
+  for (const auto& [uid, job] : book_.jobs()) {
+    const auto& s = job->open.spec;
+    if (!job->open.is_long || !job->alive() || job->todo() == 0 || !book_.may_hand_out(*job)) {
+      waiting_since_.erase(uid);
+      continue;
+    }
+    if (now - waiting_since_.try_emplace(uid, now).first->second < kStarved) continue;
+    std::set<std::string> zones;
+    for (const auto& zone : settings_.zones) {
+      const auto here = job->zones.find(zone);
+      const bool full = s.spread && here != job->zones.end() && here->second >= s.zone_cap();
+      const bool elsewhere = s.one_zone && !job->zones.empty() && here == job->zones.end();
+      if (!full && !elsewhere && (!s.zone || *s.zone == zone)) zones.insert(zone);
+    }
+    const bool coming = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      const auto& m = entry.second;
+      return m.phase == wire::MachinePhase::Booting && m.spot == s.spot && zones.contains(m.zone) && s.allows_type(m.type) &&
+             !registry_.find(entry.first) && !to_release_.contains(entry.first);
+    });
+    if (!coming) hire(s.spot, job->todo() * s.cpus, {&s}, &zones);
+  }
+  std::erase_if(waiting_since_, [&](const auto& w) { return !book_.jobs().contains(w.first); });
+}
+
+bool Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting, const std::set<std::string>* zones) {
   const auto now = runtime_.now();
   if (waiting.empty() || !hires_.empty()) return true;
   struct Offer {
@@ -263,7 +287,7 @@
     for (const auto& zone : type.zones) {
       auto until = refused_until_.find({type.name, zone, spot});
       if (until != refused_until_.end() && now < until->second) continue;
-      if (typical->zone && *typical->zone != zone) continue;
+      if ((typical->zone && *typical->zone != zone) || (zones && !zones->contains(zone))) continue;
       offers.push_back({&type, zone, (spot ? type.spot_price : type.price) / used});
     }
   }
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -45,7 +45,8 @@
   void watch_health();
   void size();
   /// False if no such machine is to be had at present.
-  bool hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting);
+  bool hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting, const std::set<std::string>* zones = nullptr);
+  void hire_for_starved();
   void send_hires();
   void give_back();
   void release(const std::vector<std::string>& names);
@@ -68,6 +69,7 @@
   std::map<std::string, net::Time> gone_;  ///< given back: a lagging list may still show them
   std::vector<Hire> hires_;
   std::map<std::tuple<std::string, std::string, bool>, net::Time> refused_until_;
+  std::map<std::string, net::Time> waiting_since_;
   std::set<std::string> to_release_;
   std::set<std::string> to_unregister_;
   struct Errors {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -222,13 +222,13 @@
   const bool finished = t.cause == wire::Cause::Done && !job.open.spec.service;
   unbind(job, index, !finished);
   if (finished) {
-    job.failures = 0;
     mark_done(job, index);
   } else if (t.cause == wire::Cause::Error || t.cause == wire::Cause::NoSuch || t.cause == wire::Cause::Done) {
     job.failed_on[machine] = runtime_.now();
-    // A job that fails everywhere keeps its small remaining estimate and would win every pull: it is backed off.
-    job.failures = std::min(job.failures + 1, kMaxDoublings);
-    job.not_before = runtime_.now() + kFailurePause * (1u << job.failures);
+    // A job that fails everywhere keeps its small remaining estimate and would win every pull: it is backed off. Only
+    // failures on different machines count: one faulty machine must not stop the jobs that it failed many tasks of.
+    if (const auto machines = static_cast<unsigned>(job.failed_on.size()); machines > 1)
+      job.not_before = runtime_.now() + kFailurePause * (1u << std::min(machines, kMaxDoublings));
     spdlog::info("job {} task {} failed on {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
   } else if (t.cause == wire::Cause::Full || t.cause == wire::Cause::InUse) {
     spdlog::debug("job {} task {} refused by {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -51,7 +51,6 @@
   bool dirty = false;
   std::map<std::string, Tag> probes;           ///< machine -> the controller that queues it
   std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
-  unsigned failures = 0;
   net::Time not_before{};
   std::optional<Phase> ending;   ///< decided, being written
   bool over = false;             ///< written
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -79,7 +79,7 @@
     if (!s.due && o.kind == "finished" && o.workload == s.workload) consider(o.within);
   // What cannot be in time any more lets those pass that can; in a backlog everybody would be late otherwise.
   const int rank = static_cast<int>(s.rank);
-  return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, -rank, target.value_or(net::WallTime::max()), job.open.submitted, s.uid};
+  return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
 bool Placer::place_one(const Job& job, std::map<std::string, Slot>& slots) {
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -19,8 +19,8 @@
     const View* view = nullptr;
     machines::Room free;
   };
-  /// Urgent work first, then what can still be in time, by rank and deadline.
-  using Order = std::tuple<int, bool, int, net::WallTime, net::WallTime, std::string>;
+  /// Urgent work first, then what can still be in time, by deadline.
+  using Order = std::tuple<int, bool, net::WallTime, int, net::WallTime, std::string>;
   Order order_of(const Job& job, net::WallTime now) const;
   std::map<std::string, Slot> slots() const;
   bool place_one(const Job& job, std::map<std::string, Slot>& slots);
