--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -261,6 +261,18 @@
     });
     if (!coming) hire(s.spot, job->todo() * s.cpus, {&s}, &zones);
   }
+  // Short jobs are their owners' affair, but only the fleet can see to it that there is a machine for them at all.
+  for (const auto& [uid, open] : index_.all()) {
+    const auto& s = open.spec;
+    if (open.ended || open.is_long || (!s.types && !s.zone && s.spot)) continue;
+    const bool some = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      const auto& m = entry.second;
+      const auto* type = registry_.type(m.type);
+      return type && type->fits(s) && s.allows_type(m.type) && (!s.zone || *s.zone == m.zone) && (s.spot || !m.spot) &&
+             !registry_.closed(entry.first) && !to_release_.contains(entry.first);
+    });
+    if (!some && !hire(s.spot, s.tasks * s.cpus, {&s})) hire(false, s.cpus, {&s});
+  }
   std::erase_if(waiting_since_, [&](const auto& w) { return !book_.jobs().contains(w.first); });
 }
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -423,13 +423,20 @@
     registry_.long_map() = std::move(map);
   }
   if (!job || job->probes.erase(machine) == 0 || job->todo() == 0) return;
-  const auto stage = m.at("stage").get<int>() + 1;
-  if (stage > 2 || !m.at("long").get<bool>()) return;  // redrawn at random by the next tick
-  auto from = eligible(*job);
+  // Redrawn at random by the next tick if it was not for long tasks.
+  if (!m.at("long").get<bool>()) return;
   const auto& newest = registry_.long_map();
-  std::erase_if(from, [&](const std::string& name) {
-    return name == machine || (stage == 1 ? newest.with_long.contains(name) : !newest.short_part.contains(name));
-  });
+  std::vector<std::string> from;
+  auto stage = m.at("stage").get<int>();
+  while (from.empty() && ++stage <= machines::kLastResort) {
+    from = eligible(*job);
+    // Beyond the design: a job that may go to no machine of the short part (its zone, type or kind) would starve, so
+    // in the end its probe may wait behind long tasks.
+    if (stage < machines::kLastResort)
+      std::erase_if(from, [&](const std::string& name) {
+        return name == machine || (stage == 1 ? newest.with_long.contains(name) : !newest.short_part.contains(name));
+      });
+  }
   for (const auto& target : sched::draw(std::move(from), 1, runtime_.random())) send_probe(*job, target, stage);
 }
 
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -293,7 +293,7 @@
     const auto* job = jobs_.find(d.order.uid);
     return job && job->is_long;
   });
-  if (long_coming || registry_.holds_long(*view)) return refuse(true);
+  if (stage < kLastResort && (long_coming || registry_.holds_long(*view))) return refuse(true);
   sched::Probe probe;
   probe.uid = uid;
   probe.owner = from;
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -37,6 +37,9 @@
   net::Time first_heard{};
 };
 
+/// Stages of a probe: drawn at random, by the map, in the short part, and then anywhere that its job may go.
+constexpr int kLastResort = 3;
+
 /// Long tasks per machine, as the leader last told; probes are redrawn by it.
 struct LongMap {
   std::uint64_t generation = 0;
--- /dev/null
+++ b/tests/store/mirror_test.cpp
@@ -0,0 +1,120 @@
+#include "store/mirror.hpp"
+
+#include <gtest/gtest.h>
+
+#include "standins/state_service.hpp"
+
+namespace limemast::store {
+namespace {
+using namespace standins;
+using namespace std::chrono_literals;
+
+/// A runtime with nothing but the state service behind it, which can be cut off.
+class OneService final : public net::Runtime {
+ public:
+  OneService(World& world, StateService& service) : world_(world), service_(service), random_(1) {}
+  net::Time now() const override { return world_.now(); }
+  net::WallTime wall() const override { return world_.wall(); }
+  std::mt19937_64& random() override { return random_; }
+  TimerId after(net::Duration delay, std::function<void()> fire) override { return world_.at(delay, std::move(fire)); }
+  void cancel(TimerId id) override { world_.cancel(id); }
+  void post(std::function<void()> fire) override { world_.at(0s, std::move(fire)); }
+  void http(const net::Endpoint&, net::HttpRequest request, net::Duration timeout, std::function<void(net::HttpResult)> done) override {
+    auto once = std::make_shared<std::function<void(net::HttpResult)>>(std::move(done));
+    auto finish = [once](net::HttpResult r) {
+      if (*once) std::exchange(*once, nullptr)(std::move(r));
+    };
+    world_.at(timeout, [finish] { finish({0, true, {}}); });
+    if (cut) return;
+    world_.at(5ms, [this, request, finish] {
+      service_.handle(request, [this, finish](net::HttpResult r) {
+        if (!cut) world_.at(5ms, [finish, r] { finish(r); });
+      });
+    });
+  }
+  void send_peer(const std::string&, const wire::json&) override {}
+  bool cut = false;
+
+ private:
+  World& world_;
+  StateService& service_;
+  std::mt19937_64 random_;
+};
+
+class MirrorTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    settings_.size = 1;
+    settings_.state_rps = 100;
+    settings_.state_write_rps = 100;
+    client_ = std::make_unique<Client>(runtime_, settings_);
+    mirror_ = std::make_unique<Mirror>(runtime_, *client_, "w/");
+    mirror_->start([this](const std::vector<Change>& changes) {
+      for (const auto& c : changes) {
+        // What is told must be what the mirror shows: a reader looks the key up.
+        EXPECT_EQ(c.removed, mirror_->find(c.key) == nullptr) << c.key;
+        told_.push_back(c);
+      }
+    });
+  }
+  void run(net::Duration time) {
+    for (const auto until = world_.now() + time; world_.step(until);) {
+    }
+  }
+  World world_{1};
+  StateService service_{world_, 20};
+  OneService runtime_{world_, service_};
+  wire::Settings settings_;
+  std::unique_ptr<Client> client_;
+  std::unique_ptr<Mirror> mirror_;
+  std::vector<Change> told_;
+};
+
+TEST_F(MirrorTest, FollowsChangesInOrder) {
+  service_.put("w/a", 1);
+  service_.put("other", 1);
+  run(1s);
+  EXPECT_TRUE(mirror_->synced());
+  service_.put("w/a", 2);
+  service_.put("w/b", 3);
+  run(1s);
+  service_.remove("w/a");
+  run(1s);
+  EXPECT_EQ(mirror_->find("w/a"), nullptr);
+  ASSERT_NE(mirror_->find("w/b"), nullptr);
+  EXPECT_EQ(mirror_->entries().size(), 1u);
+}
+
+// Guards against the crash on formosa days: after a pause one answer holds a key's birth and its end.
+TEST_F(MirrorTest, TellsOneFinalStateAKeyAfterAPause) {
+  run(1s);
+  runtime_.cut = true;
+  run(10s);
+  service_.put("w/short-lived", 1);
+  service_.remove("w/short-lived");
+  service_.put("w/back", 1);
+  service_.remove("w/back");
+  service_.put("w/back", 2);
+  runtime_.cut = false;
+  told_.clear();
+  run(15s);
+  ASSERT_EQ(told_.size(), 2u);
+  EXPECT_EQ(mirror_->find("w/short-lived"), nullptr);
+  ASSERT_NE(mirror_->find("w/back"), nullptr);
+  EXPECT_EQ(mirror_->find("w/back")->value, 2);
+}
+
+TEST_F(MirrorTest, ReadsAnewWhenTheLogNoLongerReaches) {
+  service_.put("w/old", 1);
+  run(1s);
+  runtime_.cut = true;
+  run(10s);
+  service_.remove("w/old");
+  for (int i = 0; i < 50; ++i) service_.put("w/n" + std::to_string(i), i);
+  runtime_.cut = false;
+  run(15s);
+  EXPECT_EQ(mirror_->find("w/old"), nullptr);
+  EXPECT_EQ(mirror_->entries().size(), 50u);
+}
+}  // namespace
+}  // namespace limemast::store
