--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -154,7 +154,7 @@
         b.settled_tick = r.tick;
         if (!t) unbind(*job, index, true);
         else if (t->exited()) on_exit(*job, index, *t, machine);
-        else b.running = t->phase != wire::TaskPhase::Fetching;
+        else b.running = t->phase == wire::TaskPhase::Running || t->phase == wire::TaskPhase::Saving;
         continue;
       }
       if (!t) {
@@ -197,7 +197,7 @@
     b.settled = settled;
     b.settled_tick = r.tick;
     b.void_from = cluster::mandate_base(job->gate);
-    b.running = t.phase != wire::TaskPhase::Fetching;
+    b.running = t.phase == wire::TaskPhase::Running || t.phase == wire::TaskPhase::Saving;
     b.since = runtime_.now();
     spdlog::debug("job {} task {} found on {}, generation {}", t.uid, t.index, machine, membership_.generation().number);
     job->bound.emplace(t.index, std::move(b));
@@ -324,6 +324,12 @@
   if (todo && !job.done[index] && index < job.cursor) job.returned.push_back(index);
 }
 
+bool Book::may_use_for_all(const Job& job) {
+  const auto& s = job.open.spec;
+  const double n = job.todo();
+  return budgets_.may_use(s.team, {s.cpus * n, s.ram_gb * n, s.accelerators * n});
+}
+
 bool Book::refused_lately(const std::string& machine) const {
   auto it = refused_.find(machine);
   return it != refused_.end() && runtime_.now() - it->second < kRefusedPause;
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -82,6 +82,8 @@
   bool may_place(const Job& job, const View& view, bool budget = true);
   /// `evict`: tasks of lower rank there that are ended to make room.
   bool place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict = {});
+  /// May all tasks of a gang that are not handed out yet be, within the team's limit.
+  bool may_use_for_all(const Job& job);
   /// The machine's host knew better than we whether there was room.
   bool refused_lately(const std::string& machine) const;
   bool may_hand_out(const Job& job) const;
--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -48,7 +48,7 @@
   bool fits = false;
   for (const auto& [name, type] : registry_.types()) fits = fits || (s.allows_type(name) && type.fits(s));
   if (!fits) return "flavors: a task fits no allowed machine type";
-  const double times = s.service ? s.tasks : 1;
+  const double times = s.service || s.gang ? s.tasks : 1;
   const auto& t = team->second;
   if ((t.cpus_max > 0 && s.cpus * times > t.cpus_max + machines::Room::kSlack) ||
       (t.accelerators_max > 0 && s.accelerators * times > t.accelerators_max + machines::Room::kSlack))
@@ -78,7 +78,7 @@
 
 void FrontDesk::accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond) {
   if (!membership_.entitled() || tries == 0) return respond(error(503, "busy"));
-  const bool is_long = spec.service || spec.estimate > settings_.tuning.long_threshold;
+  const bool is_long = spec.service || spec.gang || spec.estimate > settings_.tuning.long_threshold;
   auto when = membership_.fences();
   when.push_back({cluster::keys::open_job(spec.uid), 0});
   when.push_back({cluster::keys::final_job(spec.uid), 0});
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -55,6 +55,10 @@
   std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) { return order.at(a) < order.at(b); });
   auto free = slots();
   for (const auto* job : waiting) {
+    if (job->open.spec.gang) {
+      place_gang(*job, free);
+      continue;
+    }
     while (job->todo() > 0 && place_one(*job, free)) {
     }
     while (job->todo() > 0 && job->open.spec.rank >= wire::Rank::Urgent && evict_for(*job, free)) {
@@ -82,6 +86,33 @@
   return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
+void Placer::place_gang(const Job& job, std::map<std::string, Slot>& slots) {
+  // All of them or none: a gang that holds machines while it waits for its last task wastes them. One zone is tried
+  // after the other if the gang must stay in one.
+  if (!book_.may_use_for_all(job)) return;
+  const auto& s = job.open.spec;
+  const auto zones = s.one_zone ? settings_.zones : std::vector<std::string>{""};
+  for (const auto& zone : zones) {
+    std::map<std::string, Slot> part;
+    std::uint64_t fit = 0;
+    std::map<std::string, std::uint64_t> by_zone;
+    for (const auto& [name, slot] : slots) {
+      const auto& r = slot.view->report;
+      if ((!zone.empty() && r.zone != zone) || short_part().contains(name) || !book_.may_place(job, *slot.view, false)) continue;
+      part.emplace(name, slot);
+      for (auto free = slot.free; free.fits(machines::Room::of(s)) && by_zone[r.zone] < s.zone_cap(); free -= machines::Room::of(s)) {
+        ++fit;
+        ++by_zone[r.zone];
+      }
+    }
+    if (fit < job.todo()) continue;
+    while (job.todo() > 0 && place_one(job, part)) {
+    }
+    for (const auto& [name, slot] : part) slots.at(name) = slot;
+    return;
+  }
+}
+
 bool Placer::place_one(const Job& job, std::map<std::string, Slot>& slots) {
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -23,6 +23,7 @@
   using Order = std::tuple<int, bool, net::WallTime, int, net::WallTime, std::string>;
   Order order_of(const Job& job, net::WallTime now) const;
   std::map<std::string, Slot> slots() const;
+  void place_gang(const Job& job, std::map<std::string, Slot>& slots);
   bool place_one(const Job& job, std::map<std::string, Slot>& slots);
   bool evict_for(const Job& job, std::map<std::string, Slot>& slots);
 
--- a/src/wire/job.hpp
+++ b/src/wire/job.hpp
@@ -18,6 +18,7 @@
   std::string workload;
   std::string team;
   bool service = false;
+  bool gang = false;  ///< its tasks run all together or not at all
   Rank rank = Rank::Standard;
   std::uint32_t tasks = 1;
   double cpus = 0;
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -5,12 +5,14 @@
 namespace limemast::wire {
 namespace {
 constexpr std::pair<const char*, TaskPhase> kPhases[] = {{"fetching", TaskPhase::Fetching},
+                                                         {"waiting", TaskPhase::Waiting},
                                                          {"running", TaskPhase::Running},
                                                          {"saving", TaskPhase::Saving},
                                                          {"exited", TaskPhase::Exited}};
 constexpr std::pair<const char*, Cause> kCauses[] = {{"done", Cause::Done},   {"halted", Cause::Halted},
                                                      {"error", Cause::Error}, {"full", Cause::Full},
-                                                     {"in_use", Cause::InUse}, {"no_such", Cause::NoSuch}};
+                                                     {"in_use", Cause::InUse}, {"no_such", Cause::NoSuch},
+                                                     {"peers", Cause::Peers}, {"alone", Cause::Alone}};
 constexpr std::pair<const char*, Verb> kVerbs[] = {{"run", Verb::Run}, {"kill", Verb::Kill}, {"clear", Verb::Clear}};
 
 template <class Table, class Value>
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -6,8 +6,8 @@
 #include "wire/job.hpp"
 
 namespace limemast::wire {
-enum class TaskPhase { Fetching, Running, Saving, Exited };
-enum class Cause { None, Done, Halted, Error, Full, InUse, NoSuch };
+enum class TaskPhase { Fetching, Waiting, Running, Saving, Exited };
+enum class Cause { None, Done, Halted, Error, Full, InUse, NoSuch, Peers, Alone };
 
 struct TaskReport {
   std::string uid;
