--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -23,7 +23,7 @@
       router_(runtime, membership_),
       index_(membership_),
       registry_(index_),
-      host_(runtime, settings, client_, mirror_, membership_, router_, index_, registry_,
+      host_(runtime, settings, client_, membership_, router_, index_, registry_,
             [this](const std::string& machine) { book_.on_view(machine); }),
       book_(runtime, settings, client_, membership_, router_, index_, registry_),
       placer_(runtime, settings, membership_, router_, index_, registry_, book_),
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -43,8 +43,6 @@
   std::vector<store::Condition> fences() const;
   /// The generation from which on the present leader has led without a break.
   std::uint64_t leading_since() const { return leading_since_; }
-  /// A worker or a peer showed a generation that we have not read yet.
-  void saw_newer_generation() {}
 
  private:
   void clear_predecessor();
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -154,14 +154,14 @@
         b.settled_tick = r.tick;
         if (!t) unbind(*job, index, true);
         else if (t->exited()) on_exit(*job, index, *t, machine);
-        else b.running = t->phase == wire::TaskPhase::Running || t->phase == wire::TaskPhase::Saving;
+        else b.running = t->runs();
         continue;
       }
       if (!t) {
         if (b.settled && r.tick > b.settled_tick) unbind(*job, index, true);
         continue;
       }
-      b.running = t->phase == wire::TaskPhase::Running || t->phase == wire::TaskPhase::Saving;
+      b.running = t->runs();
       // An exit counts once its delivery is settled: until then the same order may still be on its way.
       if (t->exited() && b.settled) on_exit(*job, index, *t, machine);
     }
@@ -197,7 +197,7 @@
     b.settled = settled;
     b.settled_tick = r.tick;
     b.void_from = cluster::mandate_base(job->gate);
-    b.running = t.phase == wire::TaskPhase::Running || t.phase == wire::TaskPhase::Saving;
+    b.running = t.runs();
     b.since = runtime_.now();
     spdlog::debug("job {} task {} found on {}, generation {}", t.uid, t.index, machine, membership_.generation().number);
     job->bound.emplace(t.index, std::move(b));
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -129,7 +129,6 @@
     c.short_part = short_part().contains(name);
     if (!registry_.has_image(name, s.image) && type->fetch_gb_per_s > 0) c.delay = wire::Seconds(s.image_gb / type->fetch_gb_per_s);
     c.price = (r.spot ? type->spot_price : type->price) / type->cpus;
-    c.fill = 1 - slot.free.cpus / type->cpus;
     c.fill_after = 1 - (slot.free.cpus - need.cpus) / type->cpus;
     candidates.push_back(std::move(c));
   }
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -20,9 +20,8 @@
 constexpr auto kLookAgain = 2s;
 }  // namespace
 
-Host::Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
-           cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen)
-    : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror), membership_(membership), router_(router),
+Host::Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen)
+    : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router),
       jobs_(jobs), registry_(registry), seen_(std::move(seen)) {
   router_.on("report", [this](const cluster::Tag& from, const json& m) {
     if (auto report = wire::parse_report(m.at("report"))) take_report(*report, from, m.at("hello").get<bool>());
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -12,8 +12,7 @@
  public:
   /// Called after each newer report of any machine, whoever heard it.
   using Seen = std::function<void(const std::string& machine)>;
-  Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
-       cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen);
+  Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen);
 
   /// POST /hello
   void hello(const wire::Report& report, net::Responder respond);
@@ -86,7 +85,6 @@
   net::Runtime& runtime_;
   const wire::Settings& settings_;
   store::Client& client_;
-  const store::Mirror& mirror_;
   cluster::Membership& membership_;
   cluster::Router& router_;
   cluster::JobIndex& jobs_;
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -14,8 +14,7 @@
   bool short_part = false;
   wire::Seconds delay{0};   ///< until the task could start: the fetch of its image
   double price = 0;         ///< what the machine costs per unit of its size
-  double fill = 0;          ///< share of the machine in use
-  double fill_after = 0;
+  double fill_after = 0;    ///< share of the machine in use once the task is there
 };
 
 /// The candidate where the task starts soonest (least work left before it: the machines that have room differ
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -16,6 +16,7 @@
   TaskPhase phase = TaskPhase::Fetching;
   Cause cause = Cause::None;
   bool exited() const { return phase == TaskPhase::Exited; }
+  bool runs() const { return phase == TaskPhase::Running || phase == TaskPhase::Saving; }
 };
 
 /// A worker's account of itself; (tenure, tick) orders the accounts of one machine.
