--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -52,13 +52,14 @@
         index_.put(name, *mirror_.find(c.key));
       }
     } else if (cluster::keys::under(c.key, cluster::keys::kMachines, name)) {
-      if (c.removed) {
-        host_.on_machine_removed(name);
-        book_.on_machine_removed(name);
-        registry_.remove(name);
-      } else {
-        registry_.set_registered(name);
+      // A record names machines; those that none names any more were given back.
+      const auto named = c.removed ? std::set<std::string>() : mirror_.find(c.key)->value.get<std::set<std::string>>();
+      for (const auto& machine : registry_.set_record(c.key, named)) {
+        host_.on_machine_removed(machine);
+        book_.on_machine_removed(machine);
+        registry_.remove(machine);
       }
+      book_.on_machines();
     } else if (c.key == cluster::keys::kCatalog && !c.removed) {
       fleet_.load_types(mirror_.find(c.key)->value);
     }
@@ -77,6 +78,7 @@
 }
 
 void Node::tick() {
+  host_.tick();
   book_.tick();
   index_.prune(runtime_.now() - kEndedKept);
   runtime_.after(kTick, [this] { tick(); });
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -44,7 +44,7 @@
   if (membership_.generation().leader != membership_.self() || leading_) return;
   leading_ = true;
   led_since_ = runtime_.now();
-  for (const auto& name : registry_.all_registered()) machines_.try_emplace(name).first->second.since = runtime_.now();
+  for (const auto& [name, records] : registry_.all_registered()) machines_.try_emplace(name).first->second.since = runtime_.now();
 }
 
 void Fleet::fetch_catalog() {
@@ -115,12 +115,9 @@
 }
 
 bool Fleet::busy(const std::string& machine) const {
-  if (const auto* view = registry_.find(machine))
-    if (std::any_of(view->report.tasks.begin(), view->report.tasks.end(), [](const auto& t) { return !t.exited(); })) return true;
-  for (const auto& [uid, job] : book_.jobs())
-    for (const auto& [index, b] : job->bound)
-      if (b.machine == machine) return true;
-  return false;
+  const auto* view = registry_.find(machine);
+  return book_.holds(machine) ||
+         (view && std::any_of(view->report.tasks.begin(), view->report.tasks.end(), [](const auto& t) { return !t.exited(); }));
 }
 
 void Fleet::watch_health() {
@@ -153,6 +150,8 @@
       m.closed_at = now;
     }
   }
+  for (const auto& [name, records] : registry_.all_registered())
+    if (!gone_.contains(name) && machines_.try_emplace(name).second) machines_[name].since = now;
   for (auto& [name, m] : machines_) {
     const bool heard = registry_.find(name) != nullptr;
     const auto* type = registry_.type(m.type);
@@ -393,14 +392,29 @@
 
 void Fleet::unregister() {
   // The removal of its record tells every controller that the machine and all on it are gone.
+  for (const auto& [name, records] : registry_.all_registered())
+    if (gone_.contains(name) || registry_.gone(name)) to_unregister_.insert(name);  // written down only after it was given back
   std::erase_if(to_unregister_, [&](const auto& name) { return !registry_.registered(name); });
-  if (to_unregister_.empty() || !membership_.entitled()) return;
-  std::vector<store::Write> writes;
+  if (to_unregister_.empty() || unregistering_ || !membership_.entitled()) return;
+  std::map<std::string, std::set<std::string>> records;
   for (const auto& name : to_unregister_) {
-    if (writes.size() >= settings_.txn_ops) break;
-    writes.push_back({cluster::keys::machine(name), std::nullopt, 0});
+    if (records.size() >= settings_.txn_ops) break;
+    for (auto& [record, machines] : registry_.records_of(name)) records.try_emplace(record, std::move(machines)).first->second.erase(name);
+  }
+  for (auto& [record, machines] : records)
+    std::erase_if(machines, [&](const auto& name) { return to_unregister_.contains(name); });
+  auto when = membership_.fences();
+  std::vector<store::Write> writes;
+  for (const auto& [record, machines] : records) {
+    const auto* entry = mirror_.find(record);
+    if (!entry || writes.size() >= settings_.txn_ops) continue;
+    // What stands there by now may name others than we know of: then the next round does it.
+    when.push_back({record, entry->stamp});
+    writes.push_back({record, machines.empty() ? std::optional<json>() : json(machines), 0});
   }
-  client_.txn(store::Priority::User, membership_.fences(), writes, [](store::TxnResult) {});
+  if (writes.empty()) return;
+  unregistering_ = true;
+  client_.txn(store::Priority::User, when, writes, [this](store::TxnResult) { unregistering_ = false; });
 }
 
 void Fleet::tick() {
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -85,5 +85,6 @@
   bool listing_ = false;
   bool listed_once_ = false;
   bool releasing_ = false;
+  bool unregistering_ = false;
 };
 }  // namespace limemast::cloud
--- a/src/cluster/keys.hpp
+++ b/src/cluster/keys.hpp
@@ -14,7 +14,7 @@
 inline const std::string kProgress = "progress/";
 
 inline std::string node(const std::string& label) { return kNodes + label; }
-inline std::string machine(const std::string& name) { return kMachines + name; }
+inline std::string machines(const std::string& record) { return kMachines + record; }
 inline std::string open_job(const std::string& uid) { return kOpenJobs + uid; }
 inline std::string final_job(const std::string& uid) { return kFinalJobs + uid; }
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -3,7 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
+#include <utility>
 
 namespace limemast::jobs {
 namespace {
@@ -36,7 +37,8 @@
   router_.on("settled", [this](auto& from, auto& m) { on_settled(from, m); });
   router_.on("rejected", [this](auto& from, auto& m) { on_rejected(from, m); });
   router_.on("dropped", [this](auto&, auto& m) {
-    if (auto* job = find(m.at("uid").template get<std::string>())) job->probes.erase(m.at("machine").template get<std::string>());
+    for (const auto& uid : m.at("jobs"))
+      if (auto* job = find(uid.template get<std::string>())) job->probes.erase(m.at("machine").template get<std::string>());
   });
 }
 
@@ -73,6 +75,7 @@
     }
     auto& entry = *job;
     jobs_.emplace(uid, std::move(job));
+    ++arrivals_;
     if (!open.is_long && membership_.entitled()) probe(entry);
   }
   if (inherited) load_progress();
@@ -82,11 +85,39 @@
 }
 
 bool Book::all_known_since(std::uint64_t generation) const {
-  const auto base = cluster::mandate_base(generation);
-  return std::all_of(registry_.all_registered().begin(), registry_.all_registered().end(), [&](const std::string& name) {
-    auto it = read_.find(name);
-    return it != read_.end() && it->second >= base;
-  });
+  if (!least_read_) {
+    least_read_ = std::numeric_limits<std::uint64_t>::max();
+    for (const auto& [name, records] : registry_.all_registered()) {
+      auto it = read_.find(name);
+      least_read_ = std::min(*least_read_, it == read_.end() ? 0 : it->second);
+    }
+  }
+  return *least_read_ >= cluster::mandate_base(generation);
+}
+
+bool Book::holds(const std::string& machine) const {
+  auto it = on_machine_.find(machine);
+  return it != on_machine_.end() && !it->second.tasks.empty();
+}
+
+bool Book::has_long(const std::string& machine) const {
+  auto it = on_machine_.find(machine);
+  return it != on_machine_.end() && it->second.long_tasks > 0;
+}
+
+machines::Room Book::on_the_way(const std::string& machine) const {
+  machines::Room out;
+  auto it = on_machine_.find(machine);
+  if (it == on_machine_.end()) return out;
+  if (it->second.on_the_way) return *it->second.on_the_way;
+  const auto* view = registry_.find(machine);
+  if (!view) return out;
+  for (const auto& [uid, index] : it->second.tasks) {
+    const auto& job = *jobs_.at(uid);
+    if (!view->report.find(uid, index, job.bound.at(index).attempt)) out += machines::Room::of(job.open.spec);
+  }
+  it->second.on_the_way = out;
+  return out;
 }
 
 void Book::load_progress() {
@@ -121,7 +152,11 @@
   const auto base = cluster::mandate_base(membership_.generation().number);
   for (auto& [uid, job] : jobs_)
     for (auto& [index, b] : job->bound)
-      if (!b.settled && b.void_from == 0 && !membership_.member(b.deliverer)) b.void_from = base;
+      if (!b.settled && b.void_from == 0 && !membership_.member(b.deliverer)) {
+        b.void_from = base;
+        // Its machine may have shown the new generation to another controller before we read of it.
+        again_.insert(b.machine);
+      }
   sync();
   for (auto& [uid, job] : jobs_)
     std::erase_if(job->probes, [&](const auto& p) { return !membership_.member(p.second); });
@@ -133,9 +168,11 @@
   const auto* view = registry_.find(machine);
   if (!view) return;
   const auto& r = view->report;
+  ++changes_;
 
   if (auto it = on_machine_.find(machine); it != on_machine_.end()) {
-    const auto here = it->second;  // unbinding changes the set
+    it->second.on_the_way.reset();
+    const auto here = it->second.tasks;  // unbinding changes the set
     for (const auto& [uid, index] : here) {
       auto* job = find(uid);
       if (!job) continue;
@@ -182,6 +219,7 @@
       }
       const bool finished = t.cause == wire::Cause::Done && !job->open.spec.service;
       if (settled && (!finished || (job->done[t.index] && job->recorded.test(t.index)))) order(machine, t, wire::Verb::Clear);
+      again_.insert(machine);
       continue;
     }
     if (job->done[t.index] || found != job->bound.end()) {
@@ -203,17 +241,24 @@
     job->bound.emplace(t.index, std::move(b));
     std::erase(job->returned, t.index);
     ++job->zones[r.zone];
-    on_machine_[machine].insert({t.uid, t.index});
+    auto& held = on_machine_[machine];
+    held.tasks.insert({t.uid, t.index});
+    held.long_tasks += job->open.is_long;
+    held.on_the_way.reset();
     budgets_.use(job->open.spec.team, machines::Room::of(job->open.spec));
   }
   // Only now, with all that it shows taken over, does the machine count as known: the registry is ahead of us by a
   // message, and a task handed out in between would run twice.
-  read_[machine] = r.mandate;
+  if (auto& read = read_[machine]; read != r.mandate) {
+    read = r.mandate;
+    least_read_.reset();
+  }
 }
 
 void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb) {
   const auto* view = registry_.find(machine);
   if (!view) return;
+  again_.insert(machine);
   const wire::Order o{verb, t.uid, t.index, t.attempt, wire::Seconds(0)};
   router_.send(view->host, "order", {{"machine", machine}, {"order", wire::to_json(o)}, {"at", wall_ms()}});
 }
@@ -248,12 +293,13 @@
 void Book::on_machine_removed(const std::string& machine) {
   auto it = on_machine_.find(machine);
   if (it != on_machine_.end()) {
-    const auto here = it->second;
+    const auto here = it->second.tasks;
     for (const auto& [uid, index] : here)
       if (auto* job = find(uid)) unbind(*job, index, true);
-    on_machine_.erase(machine);
   }
   read_.erase(machine);
+  least_read_.reset();
+  again_.erase(machine);
   for (auto& [uid, job] : jobs_) job->probes.erase(machine);
 }
 
@@ -301,7 +347,10 @@
   b.since = b.asked = runtime_.now();
   spdlog::debug("{} job {} task {} handed to {} by {} gate {}, generation {}", membership_.self(), s.uid, index, b.machine, b.deliverer, job.gate, membership_.generation().number);
   ++job.zones[b.zone];
-  on_machine_[b.machine].insert({s.uid, index});
+  auto& held = on_machine_[b.machine];
+  held.tasks.insert({s.uid, index});
+  held.long_tasks += job.open.is_long;
+  held.on_the_way.reset();
   budgets_.use(s.team, machines::Room::of(s));
   json room_from = json::array();
   for (const auto& t : evict) room_from.push_back(wire::to_json(wire::Order{wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)}));
@@ -318,7 +367,12 @@
   spdlog::debug("job {} task {} is off {} (settled {}, tick {}, void from {}), generation {}", job.open.spec.uid, index, b.machine, b.settled,
                 b.settled_tick, b.void_from, membership_.generation().number);
   if (auto z = job.zones.find(b.zone); z != job.zones.end() && --z->second == 0) job.zones.erase(z);
-  if (auto m = on_machine_.find(b.machine); m != on_machine_.end()) m->second.erase({job.open.spec.uid, index});
+  if (auto m = on_machine_.find(b.machine); m != on_machine_.end() && m->second.tasks.erase({job.open.spec.uid, index}) > 0) {
+    m->second.long_tasks -= job.open.is_long;
+    m->second.on_the_way.reset();
+    if (m->second.tasks.empty()) on_machine_.erase(m);
+  }
+  ++changes_;
   budgets_.release(job.open.spec.team, machines::Room::of(job.open.spec));
   job.bound.erase(it);
   if (todo && !job.done[index] && index < job.cursor) job.returned.push_back(index);
@@ -361,6 +415,8 @@
   const auto index = next_task(*job);
   if (!index) return none(false);
   bind(*job, *index, *view, true);
+  // Handed out to the last: the probes go at once. Each would cost a pull and a refusal otherwise.
+  if (job->todo() == 0) tell_left({job});
 }
 
 void Book::on_settled(const Tag& from, const json& m) {
@@ -386,14 +442,14 @@
 
 std::vector<std::string> Book::eligible(const Job& job) const {
   const auto& s = job.open.spec;
+  std::map<std::string, bool> types;
+  for (const auto& [name, type] : registry_.types()) types[name] = s.allows_type(name) && type.fits(s);
   std::vector<std::string> out;
   for (const auto& [name, view] : registry_.views()) {
     const auto& r = view.report;
-    if (!registry_.registered(name) || registry_.closed(name) || r.notice || job.probes.contains(name) || !s.allows_type(r.type) ||
-        (s.zone && *s.zone != r.zone) || (r.spot && !s.spot))
-      continue;
-    const auto* type = registry_.type(r.type);
-    if (!type || !type->fits(s)) continue;
+    if (!view.takes_work() || (r.spot && !s.spot) || (s.zone && *s.zone != r.zone)) continue;
+    const auto type = types.find(r.type);
+    if (type == types.end() || !type->second || job.probes.contains(name)) continue;
     out.push_back(name);
   }
   return out;
@@ -401,49 +457,70 @@
 
 void Book::probe(Job& job) {
   if (!job.alive() || job.todo() == 0 || !job.progress_known) return;
-  auto from = eligible(job);
-  const auto wanted = sched::probe_count(job.todo(), settings_.tuning.min_probes, from.size() + job.probes.size());
-  if (job.probes.size() >= wanted) return;
-  for (const auto& machine : sched::draw(std::move(from), wanted - job.probes.size(), runtime_.random())) send_probe(job, machine, 0);
-}
-
-void Book::send_probe(Job& job, const std::string& machine, int stage) {
-  const auto* view = registry_.find(machine);
-  if (!view) return;
-  const auto& s = job.open.spec;
-  job.probes[machine] = view->host;
-  router_.send(view->host, "probe",
-               {{"uid", s.uid}, {"machine", machine}, {"stage", stage}, {"estimate", s.estimate.count()}, {"left", job.todo()},
-                {"cpus", s.cpus}, {"ram", s.ram_gb}, {"acc", s.accelerators}});
+  const auto most = sched::probe_count(job.todo(), settings_.tuning.min_probes, registry_.views().size());
+  if (job.probes.size() >= most) return;
+  if (std::exchange(job.probed, true)) return redraw(job, most - job.probes.size(), 0);
+  // At first from all machines, whatever the map says: it may be old (Eagle, section 3.3).
+  send_probes(job, sched::draw(eligible(job), most, runtime_.random()), 0);
 }
 
-void Book::on_rejected(const Tag&, const json& m) {
-  auto* job = find(m.at("uid").get<std::string>());
-  const auto machine = m.at("machine").get<std::string>();
-  machines::LongMap map;
-  map.generation = m.at("generation").get<std::uint64_t>();
-  map.serial = m.at("serial").get<std::uint64_t>();
-  if (map.fresher_than(registry_.long_map())) {
-    map.with_long = m.at("map").get<std::set<std::string>>();
-    map.short_part = m.at("short_part").get<std::set<std::string>>();
-    registry_.long_map() = std::move(map);
-  }
-  if (!job || job->probes.erase(machine) == 0 || job->todo() == 0) return;
-  // Redrawn at random by the next tick if it was not for long tasks.
-  if (!m.at("long").get<bool>()) return;
-  const auto& newest = registry_.long_map();
-  std::vector<std::string> from;
-  auto stage = m.at("stage").get<int>();
-  while (from.empty() && ++stage <= machines::kLastResort) {
-    from = eligible(*job);
+void Book::redraw(Job& job, std::size_t count, int stage) {
+  const auto& map = registry_.long_map();
+  while (count > 0 && ++stage <= machines::kLastResort) {
+    auto from = eligible(job);
     // Beyond the design: a job that may go to no machine of the short part (its zone, type or kind) would starve, so
     // in the end its probe may wait behind long tasks.
     if (stage < machines::kLastResort)
       std::erase_if(from, [&](const std::string& name) {
-        return name == machine || (stage == 1 ? newest.with_long.contains(name) : !newest.short_part.contains(name));
+        return stage == 1 ? map.with_long.contains(name) : !map.short_part.contains(name);
       });
+    const auto chosen = sched::draw(std::move(from), count, runtime_.random());
+    count -= chosen.size();
+    send_probes(job, chosen, stage);
+  }
+}
+
+void Book::send_probes(Job& job, const std::vector<std::string>& machines, int stage) {
+  const auto& s = job.open.spec;
+  std::map<Tag, json> by_host;
+  for (const auto& machine : machines) {
+    const auto* view = registry_.find(machine);
+    if (!view) continue;
+    job.probes[machine] = view->host;
+    by_host.try_emplace(view->host, json::array()).first->second.push_back(machine);
+  }
+  const auto& map = registry_.long_map();
+  for (auto& [host, list] : by_host)
+    router_.send(host, "probe",
+                 {{"uid", s.uid}, {"machines", std::move(list)}, {"stage", stage}, {"estimate", s.estimate.count()}, {"left", job.todo()},
+                  {"cpus", s.cpus}, {"ram", s.ram_gb}, {"acc", s.accelerators}, {"map", {map.generation, map.serial}}});
+}
+
+void Book::on_rejected(const Tag&, const json& m) {
+  auto* job = find(m.at("uid").get<std::string>());
+  if (auto newer = m.find("map"); newer != m.end()) {
+    machines::LongMap map{newer->at(0).get<std::uint64_t>(), newer->at(1).get<std::uint64_t>(), {}, {}};
+    if (map.fresher_than(registry_.long_map())) {
+      map.with_long = m.at("with_long").get<std::set<std::string>>();
+      map.short_part = m.at("short_part").get<std::set<std::string>>();
+      registry_.long_map() = std::move(map);
+    }
   }
-  for (const auto& target : sched::draw(std::move(from), 1, runtime_.random())) send_probe(*job, target, stage);
+  if (!job) return;
+  // Those not refused for long tasks are drawn anew by the next tick.
+  for (const auto& machine : m.at("other")) job->probes.erase(machine.get<std::string>());
+  std::size_t again = 0;
+  for (const auto& machine : m.at("long")) again += job->probes.erase(machine.get<std::string>());
+  if (job->alive() && job->todo() > 0) redraw(*job, again, m.at("stage").get<int>());
+}
+
+void Book::tell_left(const std::vector<const Job*>& jobs) {
+  json left = json::array();
+  for (const auto* job : jobs) left.push_back({job->open.spec.uid, job->todo()});
+  router_.broadcast("left", {{"jobs", left}});
+  router_.send(membership_.self(), "left", {{"jobs", left}});
+  for (const auto* job : jobs)
+    if (job->todo() == 0) find(job->open.spec.uid)->probes.clear();
 }
 
 // ---- endings ----
@@ -492,6 +569,7 @@
   job->ending = phase;
   job->over = true;
   spdlog::debug("job {} {}, generation {}", uid, name_of(phase), membership_.generation().number);
+  router_.broadcast("final", {{"uid", uid}, {"phase", name_of(phase)}, {"tasks", job->open.spec.tasks}});
   for (auto& done : std::exchange(job->waiting, {})) done(phase);
 }
 
@@ -555,7 +633,7 @@
 
 void Book::tick() {
   const auto now = runtime_.now();
-  json left = json::array();
+  std::vector<const Job*> left;
   std::vector<std::string> finished;
   for (auto& [uid, job] : jobs_) {
     // Not before the mirror shows the end as well: the job would be taken up anew from its old record.
@@ -572,13 +650,11 @@
       const auto* view = registry_.find(p.first);
       return !view || view->host != p.second;
     });
-    if (!job->probes.empty()) left.push_back({uid, job->todo()});
+    if (!job->probes.empty()) left.push_back(job.get());
     if (membership_.entitled()) probe(*job);
   }
-  if (!left.empty() && membership_.entitled()) {
-    router_.broadcast("left", {{"jobs", left}});
-    router_.send(membership_.self(), "left", {{"jobs", left}});
-  }
+  if (!left.empty() && membership_.entitled()) tell_left(left);
+  for (const auto& machine : std::exchange(again_, {})) on_view(machine);
   for (const auto& uid : finished) jobs_.erase(uid);
   const bool rebuilt = std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
     return j.second->over || j.second->gate == 0 || (j.second->progress_known && all_known_since(j.second->gate));
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -48,6 +48,7 @@
   std::map<std::string, std::uint32_t> zones;
   std::uint64_t gate = 0;        ///< hand nothing out before all machines have shown this generation
   bool progress_known = true;
+  bool probed = false;           ///< its first probes, drawn from all machines, are out
   bool dirty = false;
   std::map<std::string, Tag> probes;           ///< machine -> the controller that queues it
   std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
@@ -66,6 +67,8 @@
   Book(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
        cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry);
 
+  /// The set of registered machines has changed.
+  void on_machines() { least_read_.reset(); }
   /// Takes up jobs that are ours by the present generation.
   void sync();
   void on_generation();
@@ -87,6 +90,16 @@
   /// The machine's host knew better than we whether there was room.
   bool refused_lately(const std::string& machine) const;
   bool may_hand_out(const Job& job) const;
+  /// Some task is, or may be, on this machine.
+  bool holds(const std::string& machine) const;
+  /// Room that tasks take which were handed out to the machine and that its report does not show yet.
+  machines::Room on_the_way(const std::string& machine) const;
+  /// Machines with a task of a long job, handed out or running.
+  bool has_long(const std::string& machine) const;
+  /// Grows with everything that may make room or work for the leader's placement.
+  std::uint64_t changes() const { return changes_; }
+  /// Grows with each job taken up.
+  std::uint64_t arrivals() const { return arrivals_; }
 
  private:
   Job* find(const std::string& uid);
@@ -104,8 +117,12 @@
   void record_progress();
   void load_progress();
   void probe(Job& job);
-  void send_probe(Job& job, const std::string& machine, int stage);
+  void send_probes(Job& job, const std::vector<std::string>& machines, int stage);
+  /// Up to `count` probes to machines that the freshest map shows free of long tasks, then the short part, and
+  /// where there are none of these, anywhere.
+  void redraw(Job& job, std::size_t count, int stage);
   std::vector<std::string> eligible(const Job& job) const;
+  void tell_left(const std::vector<const Job*>& jobs);
   void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb);
   wire::json wall_ms() const;
 
@@ -123,8 +140,17 @@
   Budgets budgets_;
   ProgressLog progress_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-  std::map<std::string, std::set<std::pair<std::string, std::uint32_t>>> on_machine_;
-  std::map<std::string, std::uint64_t> read_;  ///< machine -> mandate of the newest report taken over
+  struct Held {
+    std::set<std::pair<std::string, std::uint32_t>> tasks;
+    std::uint32_t long_tasks = 0;
+    mutable std::optional<machines::Room> on_the_way;  ///< empty: to be found anew
+  };
+  std::unordered_map<std::string, Held> on_machine_;
+  std::unordered_map<std::string, std::uint64_t> read_;  ///< machine -> mandate of the newest report taken over
+  std::set<std::string> again_;  ///< machines whose report must be read once more though nothing new may come
+  mutable std::optional<std::uint64_t> least_read_;  ///< of all registered machines; empty: to be found anew
+  std::uint64_t changes_ = 0;
+  std::uint64_t arrivals_ = 0;
   std::map<std::string, net::Time> refused_;
   std::uint64_t attempts_ = 0;
   net::Time last_record_{};
--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -8,6 +8,8 @@
 using wire::json;
 constexpr std::size_t kFinalsKept = 20'000;
 constexpr std::size_t kMaxAborts = 500;
+constexpr std::size_t kMaxAsked = 500;
+constexpr auto kOwnerPatience = 400ms;
 constexpr auto kAbortTimeout = 1500ms;
 constexpr auto kOwnAbortTimeout = 4s;
 constexpr unsigned kAcceptTries = 4;
@@ -32,6 +34,15 @@
       router_.send(from, "aborted", {{"id", id}, {"phase", phase ? name_of(*phase) : ""}});
     });
   });
+  router_.on("status", [this](const Tag& from, const json& m) { on_status_asked(from, m); });
+  router_.on("final", [this](const Tag&, const json& m) {
+    // Written before it is said, and it never changes: whoever is asked next need not ask the state service.
+    Status s;
+    s.phase = m.at("phase").get<std::string>() == name_of(Phase::Done) ? Phase::Done : Phase::Cancelled;
+    if (s.phase == Phase::Done) s.done = m.at("tasks").get<std::uint32_t>();
+    remember(m.at("uid").get<std::string>(), s);
+  });
+  router_.on("state", [this](const Tag&, const json& m) { on_status_told(m); });
   router_.on("aborted", [this](const Tag&, const json& m) {
     auto node = aborts_.extract(m.at("id").get<std::uint64_t>());
     if (node.empty()) return;
@@ -104,9 +115,7 @@
 
 Status FrontDesk::open_status(const std::string& uid) const {
   Status s;
-  for (const auto& [name, view] : registry_.views())
-    for (const auto& t : view.report.tasks)
-      if (t.uid == uid && t.phase == wire::TaskPhase::Running) ++s.running;
+  s.running = registry_.running(uid);
   s.phase = s.running > 0 ? Phase::Running : Phase::Pending;
   return s;
 }
@@ -116,7 +125,7 @@
   finals_[uid] = status;
 }
 
-void FrontDesk::look_up(const std::string& uid, std::function<void(Known, Status)> done) {
+void FrontDesk::look_up(const std::string& uid, Lookup done) {
   if (auto it = finals_.find(uid); it != finals_.end()) return done(Known::Yes, it->second);
   // While the end is being written, others may read and tell it before we hear that it was: ask the service too.
   if (auto status = book_.status(uid); status && !status->deciding) {
@@ -126,6 +135,49 @@
     if (final || membership_.entitled()) return done(Known::Yes, *status);
     return done(Known::Unclear, {});
   }
+  const auto* open = index_.find(uid);
+  const auto owner = index_.owner_of(uid);
+  if (open && !open->ended && membership_.entitled() && owner != membership_.self() && asked_.size() < kMaxAsked)
+    return ask_owner(owner, uid, std::move(done));
+  look_into_records(uid, std::move(done));
+}
+
+/// The owner knows best, and asking it spares the state service, whose requests all controllers share: at hundreds of
+/// open jobs polls alone would use them up. If it is silent, or says that it cannot tell, the service decides.
+void FrontDesk::ask_owner(const Tag& owner, const std::string& uid, Lookup done) {
+  const auto id = next_question_++;
+  asked_.emplace(id, Question{uid, std::move(done)});
+  router_.send(owner, "status", {{"id", id}, {"uid", uid}});
+  runtime_.after(kOwnerPatience, [this, id] {
+    if (auto node = asked_.extract(id); !node.empty()) look_into_records(node.mapped().uid, std::move(node.mapped().done));
+  });
+}
+
+void FrontDesk::on_status_asked(const Tag& from, const json& m) {
+  const auto uid = m.at("uid").get<std::string>();
+  json answer{{"id", m.at("id")}, {"known", false}};
+  // Without a grant somebody else may own the job by now; while its end is being written only the service can tell.
+  if (const auto s = book_.status(uid); s && !s->deciding && membership_.entitled())
+    answer.update({{"known", true}, {"phase", static_cast<unsigned>(s->phase)}, {"done", s->done}, {"running", s->running}});
+  router_.send(from, "state", std::move(answer));
+}
+
+void FrontDesk::on_status_told(const json& m) {
+  auto node = asked_.extract(m.at("id").get<std::uint64_t>());
+  if (node.empty()) return;  // too late: the service was asked meanwhile
+  auto& question = node.mapped();
+  const auto phase = m.value("phase", 0u);
+  if (!m.at("known").get<bool>() || phase > static_cast<unsigned>(Phase::Cancelled) || !membership_.entitled())
+    return look_into_records(question.uid, std::move(question.done));
+  Status s;
+  s.phase = static_cast<Phase>(phase);
+  s.done = m.at("done").get<std::uint32_t>();
+  s.running = m.at("running").get<std::uint32_t>();
+  if (s.phase == Phase::Done || s.phase == Phase::Cancelled) remember(question.uid, s);
+  question.done(Known::Yes, s);
+}
+
+void FrontDesk::look_into_records(const std::string& uid, Lookup done) {
   // Never from the mirror, which may lag behind what another controller has told: the service itself decides. A job
   // moves from its open to its final record in one transaction, hence the second look at the final one.
   auto final_record = [this, uid](std::function<void(Known, Status)> done, std::function<void()> otherwise) {
@@ -147,8 +199,7 @@
     });
   };
   if (client_.crowded()) return done(Known::Unclear, {});
-  const auto* open = index_.find(uid);
-  if (open && !open->ended)
+  if (const auto* open = index_.find(uid); open && !open->ended)
     return open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
   final_record(done, [final_record, open_record, done] {
     open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
--- a/src/jobs/frontdesk.hpp
+++ b/src/jobs/frontdesk.hpp
@@ -13,7 +13,12 @@
 
  private:
   enum class Known { Yes, No, Unclear };
-  void look_up(const std::string& uid, std::function<void(Known, Status)> done);
+  using Lookup = std::function<void(Known, Status)>;
+  void look_up(const std::string& uid, Lookup done);
+  void ask_owner(const Tag& owner, const std::string& uid, Lookup done);
+  void on_status_asked(const Tag& from, const wire::json& m);
+  void on_status_told(const wire::json& m);
+  void look_into_records(const std::string& uid, Lookup done);
   void accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond);
   Status open_status(const std::string& uid) const;
   void remember(const std::string& uid, const Status& status);
@@ -32,6 +37,12 @@
     net::Responder respond;
     std::string uid;
   };
+  struct Question {
+    std::string uid;
+    Lookup done;
+  };
+  std::map<std::uint64_t, Question> asked_;
+  std::uint64_t next_question_ = 1;
   std::map<std::uint64_t, Asked> aborts_;
   std::uint64_t next_abort_ = 1;
 };
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -5,7 +5,11 @@
 namespace limemast::jobs {
 namespace {
 using wire::json;
+using namespace std::chrono_literals;
 constexpr wire::Seconds kIndifference{5};
+constexpr auto kPause = 200ms;
+constexpr auto kLookAgain = 500ms;  ///< though nothing has changed: pauses end and machines fall silent
+constexpr auto kEvictAgain = 1s;    ///< a job that nothing gives way to asks again after this
 }  // namespace
 
 Placer::Placer(net::Runtime& runtime, const wire::Settings& settings, cluster::Membership& membership, cluster::Router& router,
@@ -23,49 +27,72 @@
   });
 }
 
-std::map<std::string, Placer::Slot> Placer::slots() const {
-  std::map<std::string, Slot> out;
+Placer::Slots Placer::slots() const {
+  Slots out;
   const auto now = runtime_.now();
   const auto silent = net::to_duration(settings_.report * 2.5);
+  const auto& part = short_part();
+  out.reserve(registry_.views().size());
   for (const auto& [name, view] : registry_.views()) {
-    if (!registry_.registered(name) || registry_.closed(name) || view.report.notice || now - view.heard > silent ||
-        book_.refused_lately(name) || !membership_.member(view.host))
+    if (!view.takes_work() || now - view.heard > silent || !membership_.member(view.host) || book_.refused_lately(name))
       continue;
-    out.emplace(name, Slot{&view, registry_.reported_room(view)});
-  }
-  for (const auto& [uid, job] : book_.jobs()) {
-    for (const auto& [index, b] : job->bound) {
-      auto it = out.find(b.machine);
-      if (it == out.end() || it->second.view->report.find(uid, index, b.attempt)) continue;
-      it->second.free -= machines::Room::of(job->open.spec);
-    }
+    const auto* type = registry_.type(view.report.type);
+    if (!type) continue;
+    auto free = registry_.reported_room(view);
+    free -= book_.on_the_way(name);
+    out.push_back({&view, type, free, part.contains(name)});
   }
   return out;
 }
 
 void Placer::run() {
   if (!membership_.leads()) return;
-  std::vector<const Job*> waiting;
+  const auto now = runtime_.now();
+  // In a large fleet something changes all the time. What found no room a moment ago waits a little for the next look;
+  // a job that is new does not.
+  const bool fresh = book_.arrivals() != seen_arrivals_;
+  if (!fresh && now - last_run_ < (book_.changes() == seen_changes_ ? kLookAgain : kPause)) return;
+  seen_changes_ = book_.changes();
+  seen_arrivals_ = book_.arrivals();
+  last_run_ = now;
+  std::vector<std::pair<Order, const Job*>> waiting;
   for (const auto& [uid, job] : book_.jobs())
-    if (job->open.is_long && job->alive() && job->todo() > 0 && book_.may_hand_out(*job)) waiting.push_back(job.get());
+    if (job->open.is_long && job->alive() && job->todo() > 0 && book_.may_hand_out(*job)) waiting.emplace_back(order_of(*job, runtime_.wall()), job.get());
+  std::erase_if(evict_after_, [&](const auto& e) { return e.second < now; });
   if (waiting.empty()) return;
-  const auto now = runtime_.wall();
-  std::map<const Job*, Order> order;
-  for (const auto* job : waiting) order.emplace(job, order_of(*job, now));
-  std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) { return order.at(a) < order.at(b); });
+  std::sort(waiting.begin(), waiting.end());
   auto free = slots();
-  for (const auto* job : waiting) {
-    if (job->open.spec.gang) {
+  std::set<Shape> too_big;  // what one task found no room for, the next of its like need not look for
+  for (const auto& [order, job] : waiting) {
+    const auto& s = job->open.spec;
+    if (s.gang) {
       place_gang(*job, free);
       continue;
     }
-    while (job->todo() > 0 && place_one(*job, free)) {
-    }
-    while (job->todo() > 0 && job->open.spec.rank >= wire::Rank::Urgent && evict_for(*job, free)) {
+    const Shape shape{s.spot, s.cpus, s.ram_gb, s.accelerators, s.zone, s.types};
+    if (!too_big.contains(shape)) {
+      auto fit = fitting(*job, free);
+      if (fit.empty()) too_big.insert(shape);
+      while (job->todo() > 0 && place_one(*job, fit)) {
+      }
     }
+    if (s.rank < wire::Rank::Urgent || evict_after_.contains(s.uid)) continue;
+    while (job->todo() > 0)
+      if (!evict_for(*job, free)) {
+        evict_after_[s.uid] = now + kEvictAgain;
+        break;
+      }
   }
 }
 
+std::vector<Placer::Slot*> Placer::fitting(const Job& job, Slots& slots) {
+  const auto need = machines::Room::of(job.open.spec);
+  std::vector<Slot*> out;
+  for (auto& slot : slots)
+    if (slot.free.fits(need) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
+  return out;
+}
+
 Placer::Order Placer::order_of(const Job& job, net::WallTime now) const {
   const auto& s = job.open.spec;
   // When the job should be complete: its own deadline, or the nearest of its class's aims that it can still meet.
@@ -86,70 +113,70 @@
   return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
-void Placer::place_gang(const Job& job, std::map<std::string, Slot>& slots) {
+void Placer::place_gang(const Job& job, Slots& slots) {
   // All of them or none: a gang that holds machines while it waits for its last task wastes them. One zone is tried
   // after the other if the gang must stay in one.
   if (!book_.may_use_for_all(job)) return;
   const auto& s = job.open.spec;
+  const auto need = machines::Room::of(s);
+  const auto all = fitting(job, slots);
   const auto zones = s.one_zone ? settings_.zones : std::vector<std::string>{""};
   for (const auto& zone : zones) {
-    std::map<std::string, Slot> part;
+    std::vector<Slot*> part;
     std::uint64_t fit = 0;
     std::map<std::string, std::uint64_t> by_zone;
-    for (const auto& [name, slot] : slots) {
-      const auto& r = slot.view->report;
-      if ((!zone.empty() && r.zone != zone) || short_part().contains(name) || !book_.may_place(job, *slot.view, false)) continue;
-      part.emplace(name, slot);
-      for (auto free = slot.free; free.fits(machines::Room::of(s)) && by_zone[r.zone] < s.zone_cap(); free -= machines::Room::of(s)) {
+    for (auto* slot : all) {
+      const auto& in = slot->view->report.zone;
+      if (slot->short_part || (!zone.empty() && in != zone)) continue;
+      part.push_back(slot);
+      for (auto free = slot->free; free.fits(need) && by_zone[in] < s.zone_cap(); free -= need) {
         ++fit;
-        ++by_zone[r.zone];
+        ++by_zone[in];
       }
     }
     if (fit < job.todo()) continue;
     while (job.todo() > 0 && place_one(job, part)) {
     }
-    for (const auto& [name, slot] : part) slots.at(name) = slot;
     return;
   }
 }
 
-bool Placer::place_one(const Job& job, std::map<std::string, Slot>& slots) {
+bool Placer::place_one(const Job& job, const std::vector<Slot*>& slots) {
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
   std::vector<sched::Candidate> candidates;
-  for (const auto& [name, slot] : slots) {
-    if (!slot.free.fits(need)) continue;
-    const auto& r = slot.view->report;
-    const auto* type = registry_.type(r.type);
-    if (!type || !book_.may_place(job, *slot.view, false)) continue;
+  std::vector<Slot*> of;
+  for (auto* slot : slots) {
+    if (!slot->free.fits(need) || !book_.may_place(job, *slot->view, false)) continue;
+    const auto& r = slot->view->report;
+    const auto& type = *slot->type;
     sched::Candidate c;
-    c.machine = name;
-    c.zone = r.zone;
     c.spot = r.spot;
-    c.short_part = short_part().contains(name);
-    if (!registry_.has_image(name, s.image) && type->fetch_gb_per_s > 0) c.delay = wire::Seconds(s.image_gb / type->fetch_gb_per_s);
-    c.price = (r.spot ? type->spot_price : type->price) / type->cpus;
-    c.fill_after = 1 - (slot.free.cpus - need.cpus) / type->cpus;
-    candidates.push_back(std::move(c));
+    c.short_part = slot->short_part;
+    if (!registry_.has_image(r.machine, s.image) && type.fetch_gb_per_s > 0) c.delay = wire::Seconds(s.image_gb / type.fetch_gb_per_s);
+    c.price = (r.spot ? type.spot_price : type.price) / type.cpus;
+    c.fill_after = 1 - (slot->free.cpus - need.cpus) / type.cpus;
+    candidates.push_back(c);
+    of.push_back(slot);
   }
   const auto best = sched::choose(candidates, kIndifference);
-  if (!best || !book_.place(s.uid, candidates[*best].machine)) return false;
-  slots[candidates[*best].machine].free -= need;
+  if (!best || !book_.place(s.uid, of[*best]->view->report.machine)) return false;
+  of[*best]->free -= need;
   return true;
 }
 
-bool Placer::evict_for(const Job& job, std::map<std::string, Slot>& slots) {
+bool Placer::evict_for(const Job& job, Slots& slots) {
   // Work of lower rank gives way. The machine that needs the fewest tasks ended is taken.
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
-  std::string best;
+  Slot* best = nullptr;
   std::vector<wire::TaskReport> best_victims;
-  for (const auto& [name, slot] : slots) {
-    if (!book_.may_place(job, *slot.view, false) || short_part().contains(name)) continue;
+  for (auto& slot : slots) {
+    if (slot.evicting || slot.short_part || !machines::Room::of(*slot.type).fits(need) || !book_.may_place(job, *slot.view, false)) continue;
     std::vector<std::pair<wire::Rank, const wire::TaskReport*>> lower;
     for (const auto& t : slot.view->report.tasks) {
-      const auto* other = index_.find(t.uid);
-      if (!t.exited() && other && !other->ended && other->spec.rank < s.rank) lower.emplace_back(other->spec.rank, &t);
+      const auto* other = t.exited() ? nullptr : index_.find(t.uid);
+      if (other && !other->ended && other->spec.rank < s.rank) lower.emplace_back(other->spec.rank, &t);
     }
     std::stable_sort(lower.begin(), lower.end(), [](auto& a, auto& b) { return a.first < b.first; });
     auto free = slot.free;
@@ -160,13 +187,14 @@
       victims.push_back(*t);
     }
     if (!free.fits(need) || victims.empty()) continue;
-    if (best.empty() || victims.size() < best_victims.size()) {
-      best = name;
+    if (!best || victims.size() < best_victims.size()) {
+      best = &slot;
       best_victims = std::move(victims);
     }
   }
-  if (best.empty() || !book_.place(s.uid, best, best_victims)) return false;
-  slots.erase(best);  // what is left there shows with its next report
+  if (!best || !book_.place(s.uid, best->view->report.machine, best_victims)) return false;
+  best->evicting = true;  // what is left there shows with its next report
+  best->free = {};
   return true;
 }
 
@@ -176,16 +204,12 @@
   machines::LongMap map;
   map.generation = membership_.generation().number;
   map.serial = ++serial_;
-  std::set<std::string> bound_long;
-  for (const auto& [uid, job] : book_.jobs())
-    if (job->open.is_long)
-      for (const auto& [index, b] : job->bound) bound_long.insert(b.machine);
   const auto part = short_part();
   for (const auto& [name, view] : registry_.views()) {
-    if (!registry_.registered(name)) continue;
-    const bool has_long = bound_long.contains(name) || registry_.holds_long(view);
+    if (!view.registered) continue;
+    const bool has_long = book_.has_long(name) || registry_.holds_long(view);
     if (has_long) map.with_long.insert(name);
-    if (!registry_.closed(name)) machines.push_back({name, has_long, part.contains(name), view.report.spot});
+    if (!view.closed) machines.push_back({name, has_long, part.contains(name), view.report.spot});
   }
   const auto chosen = sched::choose_short_part(std::move(machines), settings_.tuning.short_share);
   map.short_part = {chosen.begin(), chosen.end()};
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -17,15 +17,22 @@
  private:
   struct Slot {
     const View* view = nullptr;
+    const wire::MachineType* type = nullptr;
     machines::Room free;
+    bool short_part = false;
+    bool evicting = false;
   };
+  using Slots = std::vector<Slot>;
+  /// All that decides which machines a task fits on, but for what else of its job runs where.
+  using Shape = std::tuple<bool, double, double, double, std::optional<std::string>, std::optional<std::vector<std::string>>>;
   /// Urgent work first, then what can still be in time, by deadline.
   using Order = std::tuple<int, bool, net::WallTime, int, net::WallTime, std::string>;
   Order order_of(const Job& job, net::WallTime now) const;
-  std::map<std::string, Slot> slots() const;
-  void place_gang(const Job& job, std::map<std::string, Slot>& slots);
-  bool place_one(const Job& job, std::map<std::string, Slot>& slots);
-  bool evict_for(const Job& job, std::map<std::string, Slot>& slots);
+  Slots slots() const;
+  std::vector<Slot*> fitting(const Job& job, Slots& slots);
+  void place_gang(const Job& job, Slots& slots);
+  bool place_one(const Job& job, const std::vector<Slot*>& slots);
+  bool evict_for(const Job& job, Slots& slots);
 
   net::Runtime& runtime_;
   const wire::Settings& settings_;
@@ -35,5 +42,9 @@
   machines::Registry& registry_;
   Book& book_;
   std::uint64_t serial_ = 0;
+  std::uint64_t seen_changes_ = 0;
+  std::uint64_t seen_arrivals_ = 0;
+  net::Time last_run_{};
+  std::map<std::string, net::Time> evict_after_;
 };
 }  // namespace limemast::jobs
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -18,14 +18,21 @@
 constexpr auto kOrderAge = 8s;
 constexpr auto kRefusedKept = 120s;
 constexpr auto kLookAgain = 2s;
+constexpr auto kRegisterDelay = 100ms;  ///< machines that were hired together come up together: one record holds them
+constexpr auto kRegisterRetry = 1s;
+constexpr std::size_t kRecordMachines = 64;
+/// Direct commands under way at once: a thousand machines behind a cut must not take all sockets for themselves.
+constexpr std::size_t kMaxDirect = 128;
 }  // namespace
 
 Host::Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen)
     : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router),
       jobs_(jobs), registry_(registry), seen_(std::move(seen)) {
   router_.on("report", [this](const cluster::Tag& from, const json& m) {
-    if (auto report = wire::parse_report(m.at("report"))) take_report(*report, from, m.at("hello").get<bool>());
+    if (auto report = wire::parse_peer_report(m.at("report"))) take_report(*report, from, m.at("hello").get<bool>());
   });
+  router_.on("heard", [this](auto& from, auto& m) { on_heard(from, m); });
+  router_.on("resend", [this](auto& from, auto& m) { on_resend(from, m); });
   router_.on("probe", [this](auto& from, auto& m) { on_probe(from, m); });
   router_.on("run", [this](auto& from, auto& m) { on_run(from, m); });
   router_.on("none", [this](auto& from, auto& m) { on_none(from, m); });
@@ -37,11 +44,7 @@
     auto& h = hosted(machine);
     h.fence = std::max(h.fence, m.at("mandate").template get<std::uint64_t>());
   });
-  router_.on("left", [this](auto&, auto& m) {
-    for (const auto& entry : m.at("jobs"))
-      for (auto& [name, h] : hosted_)
-        h.probes.set_remaining(entry.at(0).template get<std::string>(), entry.at(1).template get<std::uint32_t>());
-  });
+  router_.on("left", [this](auto&, auto& m) { on_left(m); });
 }
 
 Host::Hosted& Host::hosted(const std::string& machine) {
@@ -62,9 +65,7 @@
   return age < kOrderAge + 2 * net::to_duration(settings_.skew);
 }
 
-bool Host::usable(const std::string& machine, const View& view) const {
-  return membership_.entitled() && registry_.registered(machine) && !registry_.closed(machine) && !view.report.notice;
-}
+bool Host::usable(const View& view) const { return membership_.entitled() && view.takes_work(); }
 
 void Host::hello(const wire::Report& report, net::Responder respond) {
   const auto generation = membership_.generation().number;
@@ -91,8 +92,10 @@
   h.respond = std::move(respond);
   h.answering_tick = report.tick;
   const auto serial = ++h.answer_serial;
-  if (!registry_.registered(report.machine)) register_machine(report.machine, report);
-  router_.broadcast("report", {{"report", wire::to_json(report)}, {"hello", true}});
+  if (!registry_.registered(report.machine)) register_soon(report.machine);
+  h.heard_lately = true;
+  // Most reports repeat the one before: the others need no more than to hear that it still holds.
+  if (moved || !h.told_hello || !view->report.repeats(report)) tell_others(report, true);
   take_report(report, membership_.self(), true);
   pump(report.machine);
   // The owners' orders are posted; the answer leaves after them, or when the pull under way is answered.
@@ -111,7 +114,71 @@
   });
 }
 
+void Host::tell_others(const wire::Report& report, bool hello) {
+  auto& h = hosted(report.machine);
+  h.told_tenure = report.tenure;
+  h.told_tick = report.tick;
+  h.told_hello = hello;
+  router_.broadcast("report", {{"report", wire::to_peer(report)}, {"hello", hello}});
+}
+
+void Host::tick() {
+  json machines = json::array();
+  for (auto& [name, h] : hosted_) {
+    if (!std::exchange(h.heard_lately, false) || !ours(name)) continue;
+    machines.insert(machines.end(), {json(name), json(h.told_tenure), json(h.told_tick)});
+  }
+  if (!machines.empty() && membership_.entitled()) router_.broadcast("heard", {{"machines", machines}});
+}
+
+/// Machines that another controller heard of late, and the newest report of each that it sent us. What was lost on a
+/// broken link, or came before we had joined, is asked for again.
+void Host::on_heard(const cluster::Tag& from, const json& m) {
+  const auto& list = m.at("machines");
+  json missing = json::array();
+  for (std::size_t i = 0; i + 2 < list.size(); i += 3) {
+    const auto& machine = list[i].get_ref<const std::string&>();
+    const auto tenure = list[i + 1].get<std::uint64_t>();
+    const auto tick = list[i + 2].get<std::uint64_t>();
+    const auto* view = registry_.find(machine);
+    if (view && std::pair(view->report.tenure, view->report.tick) >= std::pair(tenure, tick)) {
+      if (view->host == from) registry_.heard(machine, runtime_.now());
+    } else if (!registry_.gone(machine)) {
+      missing.push_back(machine);
+    }
+  }
+  if (!missing.empty()) router_.send(from, "resend", {{"machines", missing}});
+}
+
+void Host::on_resend(const cluster::Tag& from, const json& m) {
+  for (const auto& name : m.at("machines")) {
+    const auto& machine = name.get_ref<const std::string&>();
+    auto it = hosted_.find(machine);
+    if (it == hosted_.end() || !ours(machine)) continue;
+    // It is sent to one, yet counts as sent to all: the others hear of it by the next round.
+    auto& h = it->second;
+    const auto& report = registry_.find(machine)->report;
+    h.told_tenure = report.tenure;
+    h.told_tick = report.tick;
+    router_.send(from, "report", {{"report", wire::to_peer(report)}, {"hello", h.told_hello}});
+  }
+}
+
+void Host::on_left(const json& m) {
+  for (const auto& entry : m.at("jobs")) {
+    const auto& uid = entry.at(0).get_ref<const std::string&>();
+    const auto left = entry.at(1).get<std::uint32_t>();
+    if (left == 0) {
+      remove_probes_of(uid);
+    } else if (auto it = probed_.find(uid); it != probed_.end()) {
+      for (const auto& machine : it->second) hosted(machine).probes.set_remaining(uid, left);
+    }
+  }
+}
+
 void Host::take_report(const wire::Report& report, const cluster::Tag& host, bool hello) {
+  const auto* before = registry_.find(report.machine);
+  const bool repeats = before && before->host == host && before->report.repeats(report);
   if (!registry_.update(report, host, runtime_.now())) return;
   const auto machine = report.machine;
   settle(machine, hello);
@@ -134,7 +201,7 @@
     stray_tasks(machine, h, *view);
     if (registry_.closed(machine) || view->report.notice) drop_probes(machine, h);
   }
-  runtime_.post([this, machine] { seen_(machine); });
+  if (!repeats) runtime_.post([this, machine] { seen_(machine); });
 }
 
 void Host::settle(const std::string& machine, bool hello) {
@@ -231,20 +298,32 @@
   respond({200, wire::orders_body(mandate_for(h, *view), orders).dump(), 0, {}});
 }
 
-void Host::register_machine(const std::string& machine, const wire::Report& report) {
-  auto& h = hosted(machine);
-  if (h.registering) return;
-  h.registering = true;
-  // Before its first command a machine is written down, in this generation: a later leader that reads the list
-  // misses none that may run something.
+void Host::register_soon(const std::string& machine) {
+  to_register_.insert(machine);
+  if (std::exchange(register_armed_, true)) return;
+  runtime_.after(kRegisterDelay, [this] {
+    register_armed_ = false;
+    register_machines();
+  });
+}
+
+void Host::register_machines() {
+  if (registering_ || !membership_.entitled()) return;
+  // Before its first command a machine is written down, in this generation: a later leader that reads the records
+  // misses none that may run something. One record takes many, as the state service counts changes.
+  json names = json::array();
+  while (!to_register_.empty() && names.size() < kRecordMachines) {
+    auto name = to_register_.extract(to_register_.begin()).value();
+    if (!registry_.registered(name) && ours(name) && !registry_.gone(name)) names.push_back(std::move(name));
+  }
+  if (names.empty()) return;
+  registering_ = true;
+  const auto key = cluster::keys::machines(membership_.self() + "-" + std::to_string(next_record_++));
   auto when = membership_.fences();
-  when.push_back({cluster::keys::machine(machine), 0});
-  const json value{{"type", report.type}, {"zone", report.zone}, {"spot", report.spot}};
-  client_.txn(store::Priority::User, when, {{cluster::keys::machine(machine), value}}, [this, machine](store::TxnResult) {
-    // The mirror shows whether it worked; a machine that is still not registered tries again with its next report.
-    runtime_.after(1s, [this, machine] {
-      if (auto it = hosted_.find(machine); it != hosted_.end()) it->second.registering = false;
-    });
+  when.push_back({key, 0});
+  client_.txn(store::Priority::User, when, {{key, names}}, [this](store::TxnResult) {
+    // The mirror shows whether it worked; a machine that is still not written down is tried again by its next report.
+    runtime_.after(kRegisterRetry, [this] { registering_ = false; });
   });
 }
 
@@ -263,7 +342,7 @@
 void Host::pump(const std::string& machine) {
   const auto* view = registry_.find(machine);
   auto it = hosted_.find(machine);
-  if (!view || it == hosted_.end() || view->host != membership_.self() || !usable(machine, *view)) return;
+  if (!view || it == hosted_.end() || view->host != membership_.self() || !usable(*view)) return;
   auto& h = it->second;
   const auto now = runtime_.now();
   if (h.pull && now - h.pull->since > kPullTimeout) h.pull.reset();
@@ -276,23 +355,8 @@
 }
 
 void Host::on_probe(const cluster::Tag& from, const json& m) {
-  const auto machine = m.at("machine").get<std::string>();
   const auto uid = m.at("uid").get<std::string>();
   const auto stage = m.at("stage").get<int>();
-  const auto* view = registry_.find(machine);
-  auto refuse = [&](bool for_long) {
-    const auto& map = registry_.long_map();
-    router_.send(from, "rejected",
-                 {{"uid", uid}, {"machine", machine}, {"stage", stage}, {"long", for_long}, {"generation", map.generation},
-                  {"serial", map.serial}, {"map", map.with_long}, {"short_part", map.short_part}});
-  };
-  if (!view || view->host != membership_.self() || !usable(machine, *view)) return refuse(false);
-  const auto& h = hosted(machine);
-  const bool long_coming = std::any_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) {
-    const auto* job = jobs_.find(d.order.uid);
-    return job && job->is_long;
-  });
-  if (stage < kLastResort && (long_coming || registry_.holds_long(*view))) return refuse(true);
   sched::Probe probe;
   probe.uid = uid;
   probe.owner = from;
@@ -301,13 +365,74 @@
   probe.cpus = m.at("cpus").get<double>();
   probe.ram_gb = m.at("ram").get<double>();
   probe.accelerators = m.at("acc").get<double>();
-  if (!hosted(machine).probes.add(std::move(probe))) return refuse(false);
-  pump(machine);
+  json behind_long = json::array();
+  json otherwise = json::array();
+  for (const auto& name : m.at("machines")) {
+    const auto& machine = name.get_ref<const std::string&>();
+    const auto* view = registry_.find(machine);
+    if (!view || view->host != membership_.self() || !usable(*view)) {
+      otherwise.push_back(machine);
+      continue;
+    }
+    auto& h = hosted(machine);
+    const bool long_coming = std::any_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) {
+      const auto* job = jobs_.find(d.order.uid);
+      return job && job->is_long;
+    });
+    if (stage < kLastResort && (long_coming || registry_.holds_long(*view)))
+      behind_long.push_back(machine);
+    else if (!add_probe(machine, probe))
+      otherwise.push_back(machine);
+    else
+      pump(machine);
+  }
+  if (behind_long.empty() && otherwise.empty()) return;
+  const auto& map = registry_.long_map();
+  json answer{{"uid", uid}, {"stage", stage}, {"long", behind_long}, {"other", otherwise}};
+  // The map goes along where the owner's is older: at a thousand machines it outweighs all else that is said.
+  const LongMap theirs{m.at("map").at(0).get<std::uint64_t>(), m.at("map").at(1).get<std::uint64_t>(), {}, {}};
+  if (!behind_long.empty() && map.fresher_than(theirs)) {
+    answer["map"] = {map.generation, map.serial};
+    answer["with_long"] = map.with_long;
+    answer["short_part"] = map.short_part;
+  }
+  router_.send(from, "rejected", std::move(answer));
+}
+
+bool Host::add_probe(const std::string& machine, sched::Probe probe) {
+  auto uid = probe.uid;
+  if (!hosted(machine).probes.add(std::move(probe))) return false;
+  probed_[std::move(uid)].insert(machine);
+  return true;
+}
+
+void Host::remove_probe(const std::string& machine, const std::string& uid) {
+  if (auto it = hosted_.find(machine); it != hosted_.end()) {
+    it->second.probes.remove(uid);
+    if (it->second.pull && it->second.pull->uid == uid) it->second.pull.reset();
+  }
+  if (auto it = probed_.find(uid); it != probed_.end()) {
+    it->second.erase(machine);
+    if (it->second.empty()) probed_.erase(it);
+  }
+}
+
+void Host::remove_probes_of(const std::string& uid) {
+  auto it = probed_.find(uid);
+  if (it == probed_.end()) return;
+  const auto machines = it->second;
+  for (const auto& machine : machines) remove_probe(machine, uid);
 }
 
 void Host::drop_probes(const std::string& machine, Hosted& h) {
-  for (const auto& p : h.probes.all()) router_.send(p.owner, "dropped", {{"uid", p.uid}, {"machine", machine}});
-  h.probes = sched::ProbeQueue(settings_.tuning.bypass_cap);
+  std::map<cluster::Tag, json> dropped;
+  std::vector<std::string> uids;
+  for (const auto& p : h.probes.all()) {
+    dropped.try_emplace(p.owner, json::array()).first->second.push_back(p.uid);
+    uids.push_back(p.uid);
+  }
+  for (auto& [owner, jobs] : dropped) router_.send(owner, "dropped", {{"jobs", std::move(jobs)}, {"machine", machine}});
+  for (const auto& uid : uids) remove_probe(machine, uid);
   h.pull.reset();
 }
 
@@ -348,7 +473,7 @@
     return free.fits(d.need);
   };
   const auto* job = jobs_.find(d.order.uid);
-  const bool good = it != hosted_.end() && view && view->host == membership_.self() && usable(machine, *view) &&
+  const bool good = it != hosted_.end() && view && view->host == membership_.self() && usable(*view) &&
                     view->report.tenure == d.tenure && !(job && job->ended) && fresh(m) &&
                     !refused_.contains({d.order.uid, d.order.attempt}) && has_room(it->second);
   if (!good) {
@@ -375,7 +500,7 @@
   auto& h = it->second;
   if (h.pull && h.pull->uid == uid) h.pull.reset();
   if (m.at("over").get<bool>())
-    h.probes.remove(uid);
+    remove_probe(machine, uid);
   else
     h.probes.postpone(uid, runtime_.now() + kNotNow);
   pump(machine);
@@ -445,7 +570,7 @@
   const auto now = runtime_.now();
   // Only to a machine that was heard just now: one that hangs would carry the order out whenever it goes on.
   const auto recent = net::to_duration(settings_.report * 1.25) + 1s;
-  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy ||
+  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy || direct_calls_ >= kMaxDirect ||
       h.respond || now < h.direct_bad_until || now - view->heard > recent)
     return;
   std::vector<wire::Order> orders(h.outbox.begin(), h.outbox.end());
@@ -460,6 +585,7 @@
   if (orders.empty()) return;
   h.outbox.clear();
   h.direct_busy = true;
+  ++direct_calls_;
   auto body = wire::orders_body(mandate, orders);
   body["tenure"] = view->report.tenure;
   runtime_.http(view->report.address, {"POST", "/orders", body.dump()}, kDirectTimeout,
@@ -467,6 +593,7 @@
 }
 
 void Host::on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result) {
+  --direct_calls_;
   auto it = hosted_.find(machine);
   if (it == hosted_.end()) return;
   auto& h = it->second;
@@ -504,7 +631,7 @@
     // The view stays with whoever hears the machine's reports; this body only shows what is on it.
     const auto* view = registry_.find(machine);
     if (view && view->host == membership_.self()) {
-      router_.broadcast("report", {{"report", body}, {"hello", false}});
+      if (!view->report.repeats(*report)) tell_others(*report, false);
       take_report(*report, membership_.self(), false);
     }
   }
@@ -520,8 +647,7 @@
     // them and counts on every mandate of the new generation to prove what is where.
     std::erase_if(h.deliveries, [&](const Delivery& d) { return d.path == Path::Queued && !membership_.member(d.owner); });
     for (const auto& p : std::list<sched::Probe>(h.probes.all()))
-      if (!membership_.member(p.owner)) h.probes.remove(p.uid);
-    if (h.pull && !h.probes.find(h.pull->uid)) h.pull.reset();
+      if (!membership_.member(p.owner)) remove_probe(machine, p.uid);
   }
   const auto limit = runtime_.now() - kRefusedKept;
   looked_into_.clear();
@@ -537,9 +663,8 @@
 }
 
 void Host::on_job_ended(const std::string& uid) {
+  remove_probes_of(uid);
   for (auto& [machine, h] : hosted_) {
-    h.probes.remove(uid);
-    if (h.pull && h.pull->uid == uid) h.pull.reset();
     const auto* view = registry_.find(machine);
     if (!view || view->host != membership_.self()) continue;
     const auto before = h.outbox.size();
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -4,19 +4,22 @@
 #include "cluster/router.hpp"
 #include "machines/registry.hpp"
 #include "sched/probe_queue.hpp"
+#include "wire/peer.hpp"
 
 namespace limemast::machines {
 /// Speaks to the machines that report here: answers them, keeps their probe queues, delivers commands, and
 /// proves for every `run` it was given whether it reached its machine.
 class Host {
  public:
-  /// Called after each newer report of any machine, whoever heard it.
+  /// Called after each report of any machine that shows something new, whoever heard it.
   using Seen = std::function<void(const std::string& machine)>;
   Host(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership, cluster::Router& router, cluster::JobIndex& jobs, Registry& registry, Seen seen);
 
   /// POST /hello
   void hello(const wire::Report& report, net::Responder respond);
   void on_generation();
+  /// Once a second: tells the others whom we heard, and writes down machines that are new.
+  void tick();
   void on_machine_removed(const std::string& machine);
   void on_job_ended(const std::string& uid);
 
@@ -51,7 +54,10 @@
     net::Time answered{};
     bool direct_busy = false;
     bool flush_armed = false;
-    bool registering = false;
+    std::uint64_t told_tenure = 0;  ///< the newest report that the others were sent
+    std::uint64_t told_tick = 0;
+    bool told_hello = false;        ///< and whether it was one, or the body of a direct command
+    bool heard_lately = false;
     net::Time direct_bad_until{};
     explicit Hosted(double cap) : probes(cap) {}
   };
@@ -70,12 +76,20 @@
   void flush_soon(const std::string& machine);
   void flush_direct(const std::string& machine);
   void on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result);
-  void register_machine(const std::string& machine, const wire::Report& report);
+  void tell_others(const wire::Report& report, bool hello);
+  void register_soon(const std::string& machine);
+  void register_machines();
+  bool add_probe(const std::string& machine, sched::Probe probe);
+  void remove_probe(const std::string& machine, const std::string& uid);
+  void remove_probes_of(const std::string& uid);
   void drop_probes(const std::string& machine, Hosted& h);
   bool fresh(const wire::json& message) const;
   wire::json stamp_now() const;
-  bool usable(const std::string& machine, const View& view) const;
+  bool usable(const View& view) const;
 
+  void on_heard(const cluster::Tag& from, const wire::json& m);
+  void on_resend(const cluster::Tag& from, const wire::json& m);
+  void on_left(const wire::json& m);
   void on_probe(const cluster::Tag& from, const wire::json& m);
   void on_run(const cluster::Tag& from, const wire::json& m);
   void on_none(const cluster::Tag& from, const wire::json& m);
@@ -91,6 +105,12 @@
   Registry& registry_;
   Seen seen_;
   std::map<std::string, Hosted> hosted_;
+  std::unordered_map<std::string, std::set<std::string>> probed_;  ///< job -> machines here that hold a probe of it
+  std::set<std::string> to_register_;
+  bool registering_ = false;
+  bool register_armed_ = false;
+  std::uint64_t next_record_ = 1;
+  std::size_t direct_calls_ = 0;
   std::map<std::string, net::Time> looked_into_;  ///< jobs unknown here, and when the state service was asked
   /// Attempts that we called absent: should their order come after all, it is refused.
   std::map<std::pair<std::string, std::uint64_t>, net::Time> refused_;
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -1,6 +1,6 @@
 #include "machines/registry.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace limemast::machines {
 bool Registry::update(const wire::Report& report, const cluster::Tag& host, net::Time now) {
@@ -11,21 +11,110 @@
     view.first_heard = now;
   else if (!report.newer_than(view.report))
     return false;
+  const bool same = !fresh && view.report.tasks == report.tasks;
+  if (!same) {
+    count_running(view.report, -1);
+    count_running(report, 1);
+  }
   view.report = report;
   view.host = host;
   view.heard = now;
+  if (fresh) {
+    view.registered = registered(report.machine);
+    view.closed = closed(report.machine);
+  }
+  if (same && view.appraised) return true;
+  appraise(view);
   for (const auto& t : report.tasks)
     if (t.phase == wire::TaskPhase::Running)
       if (const auto* job = jobs_.find(t.uid)) images_[report.machine].insert(job->spec.image);
   return true;
 }
 
+void Registry::appraise(View& view) const {
+  view.free = {};
+  view.has_long = false;
+  const auto* machine_type = type(view.report.type);
+  view.appraised = machine_type != nullptr;
+  if (!machine_type) return;
+  auto room = Room::of(*machine_type);
+  for (const auto& t : view.report.tasks) {
+    if (t.exited()) continue;
+    const auto* job = jobs_.find(t.uid);
+    if (!job || !job->spec_known) {
+      view.appraised = false;
+      continue;
+    }
+    room -= Room::of(job->spec);
+    view.has_long = view.has_long || job->is_long;
+  }
+  // A task whose needs are unknown leaves no room at all.
+  if (view.appraised) view.free = room;
+}
+
+void Registry::heard(const std::string& machine, net::Time now) {
+  if (auto it = views_.find(machine); it != views_.end()) it->second.heard = now;
+}
+
+std::vector<std::string> Registry::set_record(const std::string& record, std::set<std::string> machines) {
+  auto& stands = records_[record];
+  const auto before = std::exchange(stands, std::move(machines));
+  const auto& after = stands;
+  for (const auto& name : after) {
+    if (before.contains(name)) continue;
+    ++registered_[name];
+    if (auto it = views_.find(name); it != views_.end()) it->second.registered = true;
+  }
+  std::vector<std::string> out;
+  for (const auto& name : before) {
+    if (after.contains(name)) continue;
+    auto it = registered_.find(name);
+    if (it == registered_.end() || --it->second > 0) continue;
+    registered_.erase(it);
+    out.push_back(name);
+  }
+  if (after.empty()) records_.erase(record);
+  return out;
+}
+
+std::map<std::string, std::set<std::string>> Registry::records_of(const std::string& machine) const {
+  std::map<std::string, std::set<std::string>> out;
+  for (const auto& [record, machines] : records_)
+    if (machines.contains(machine)) out.emplace(record, machines);
+  return out;
+}
+
+void Registry::set_closed(std::set<std::string> closed) {
+  closed_ = std::move(closed);
+  for (auto& [name, view] : views_) view.closed = closed_.contains(name);
+}
+
+void Registry::close(const std::string& machine) {
+  closed_.insert(machine);
+  if (auto it = views_.find(machine); it != views_.end()) it->second.closed = true;
+}
+
 const View* Registry::find(const std::string& machine) const {
   auto it = views_.find(machine);
   return it == views_.end() ? nullptr : &it->second;
 }
 
+void Registry::count_running(const wire::Report& report, int by) {
+  for (const auto& t : report.tasks) {
+    if (t.phase != wire::TaskPhase::Running) continue;
+    auto it = running_.try_emplace(t.uid, 0).first;
+    it->second = static_cast<std::uint32_t>(static_cast<int>(it->second) + by);
+    if (it->second == 0) running_.erase(it);
+  }
+}
+
+std::uint32_t Registry::running(const std::string& uid) const {
+  auto it = running_.find(uid);
+  return it == running_.end() ? 0 : it->second;
+}
+
 void Registry::remove(const std::string& machine) {
+  if (const auto* view = find(machine)) count_running(view->report, -1);
   views_.erase(machine);
   registered_.erase(machine);
   closed_.erase(machine);
@@ -36,6 +125,7 @@
 void Registry::set_types(std::vector<wire::MachineType> types) {
   types_.clear();
   for (auto& t : types) types_.emplace(t.name, std::move(t));
+  for (auto& [name, view] : views_) appraise(view);
 }
 
 const wire::MachineType* Registry::type(const std::string& name) const {
@@ -44,24 +134,17 @@
 }
 
 Room Registry::reported_room(const View& view) const {
-  const auto* machine_type = type(view.report.type);
-  if (!machine_type) return {};
-  Room room = Room::of(*machine_type);
-  for (const auto& t : view.report.tasks) {
-    if (t.exited()) continue;
-    const auto* job = jobs_.find(t.uid);
-    if (!job || !job->spec_known) return {};
-    room -= Room::of(job->spec);
-  }
-  return room;
+  if (view.appraised) return view.free;
+  auto again = view;
+  appraise(again);
+  return again.free;
 }
 
 bool Registry::holds_long(const View& view) const {
-  return std::any_of(view.report.tasks.begin(), view.report.tasks.end(), [&](const wire::TaskReport& t) {
-    if (t.exited()) return false;
-    const auto* job = jobs_.find(t.uid);
-    return job && job->is_long;
-  });
+  if (view.appraised) return view.has_long;
+  auto again = view;
+  appraise(again);
+  return again.has_long;
 }
 
 bool Registry::has_image(const std::string& machine, const std::string& image) const {
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -35,6 +35,14 @@
   cluster::Tag host;  ///< the controller that heard it
   net::Time heard{};
   net::Time first_heard{};
+  bool registered = false;
+  bool closed = false;
+  bool appraised = false;   ///< `free` and `has_long` hold; not while a task's job is unknown here
+  Room free;                ///< capacity less all that the report shows
+  bool has_long = false;
+
+  /// May be given new tasks.
+  bool takes_work() const { return registered && !closed && !report.notice; }
 };
 
 /// Stages of a probe: drawn at random, by the map, in the short part, and then anywhere that its job may go.
@@ -61,12 +69,18 @@
   const View* find(const std::string& machine) const;
   const std::map<std::string, View>& views() const { return views_; }
 
-  void set_registered(const std::string& machine) { registered_.insert(machine); }
+  /// Takes one record of machines as it stands now; the machines that no record names any more are returned.
+  std::vector<std::string> set_record(const std::string& record, std::set<std::string> machines);
+  /// The records that name this machine, with all that they name.
+  std::map<std::string, std::set<std::string>> records_of(const std::string& machine) const;
   /// The machine was given back: it and all on it are gone for good, its name is never used again.
   void remove(const std::string& machine);
   bool registered(const std::string& machine) const { return registered_.contains(machine); }
   bool gone(const std::string& machine) const { return gone_.contains(machine); }
-  const std::set<std::string>& all_registered() const { return registered_; }
+  const std::map<std::string, unsigned>& all_registered() const { return registered_; }
+  void heard(const std::string& machine, net::Time now);
+  /// How many tasks of this job the newest reports show as running.
+  std::uint32_t running(const std::string& uid) const;
 
   void set_types(std::vector<wire::MachineType> types);
   const wire::MachineType* type(const std::string& name) const;
@@ -83,19 +97,23 @@
   const LongMap& long_map() const { return long_map_; }
 
   /// Machines that are being given back or drained: they take nothing new.
-  void set_closed(std::set<std::string> closed) { closed_ = std::move(closed); }
+  void set_closed(std::set<std::string> closed);
   bool closed(const std::string& machine) const { return closed_.contains(machine); }
-  void close(const std::string& machine) { closed_.insert(machine); }
+  void close(const std::string& machine);
   const std::set<std::string>& all_closed() const { return closed_; }
 
  private:
+  void appraise(View& view) const;
+  void count_running(const wire::Report& report, int by);
   const cluster::JobIndex& jobs_;
   std::map<std::string, View> views_;
-  std::set<std::string> registered_;
+  std::map<std::string, std::set<std::string>> records_;
+  std::map<std::string, unsigned> registered_;  ///< and in how many records
   std::set<std::string> gone_;
   std::set<std::string> closed_;
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, std::set<std::string>> images_;
+  std::unordered_map<std::string, std::uint32_t> running_;
   LongMap long_map_;
 };
 }  // namespace limemast::machines
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -67,14 +67,10 @@
     const auto n = static_cast<std::uint32_t>(frame.size());
     for (int shift = 24; shift >= 0; shift -= 8) pending_.push_back(static_cast<char>(n >> shift));
     pending_.append(reinterpret_cast<const char*>(frame.data()), frame.size());
-    if (connected_) flush();
   }
-
- private:
-  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
-  bool busy() const { return !pending_.empty() || writing_; }
+  /// Called once a turn of the loop: all messages of the turn leave in one system call.
   void flush() {
-    if (closing_ || writing_ || pending_.empty()) return;
+    if (!connected_ || closing_ || writing_ || pending_.empty()) return;
     uv_buf_t buf = uv_buf_init(pending_.data(), static_cast<unsigned>(pending_.size()));
     const int sent = uv_try_write(stream(), &buf, 1);
     if (sent > 0) {
@@ -96,6 +92,10 @@
         }) != 0)
       close();
   }
+
+ private:
+  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
+  bool busy() const { return !pending_.empty() || writing_; }
   uv_loop_t* loop_;
   Endpoint to_;
   std::uint64_t born_;
@@ -177,9 +177,14 @@
     : loop_(loop),
       receive_(std::move(receive)),
       listener_(std::make_unique<uv_tcp_t>().release(), &close_and_delete<uv_tcp_t>),
+      flusher_(std::make_unique<uv_prepare_t>().release(), &close_and_delete<uv_prepare_t>),
       others_(std::move(others)) {
   uv_tcp_init(loop_, listener_.get());
-  listener_->data = this;
+  uv_prepare_init(loop_, flusher_.get());
+  listener_->data = flusher_->data = this;
+  uv_prepare_start(flusher_.get(), [](uv_prepare_t* p) {
+    for (auto& [label, link] : static_cast<PeerLinks*>(p->data)->outgoing_) link->flush();
+  });
 }
 
 PeerLinks::~PeerLinks() {
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -26,6 +26,7 @@
   uv_loop_t* loop_;
   Receive receive_;
   std::unique_ptr<uv_tcp_t, void (*)(uv_tcp_t*)> listener_;
+  std::unique_ptr<uv_prepare_t, void (*)(uv_prepare_t*)> flusher_;
   std::map<std::string, std::shared_ptr<Outgoing>> outgoing_;
   std::map<std::string, Endpoint> others_;
   std::list<std::shared_ptr<Incoming>> incoming_;
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -8,8 +8,6 @@
 namespace limemast::sched {
 /// A machine that could take a long task now.
 struct Candidate {
-  std::string machine;
-  std::string zone;
   bool spot = false;
   bool short_part = false;
   wire::Seconds delay{0};   ///< until the task could start: the fetch of its image
--- a/src/sched/probe_queue.hpp
+++ b/src/sched/probe_queue.hpp
@@ -1,7 +1,8 @@
 #pragma once
+#include <algorithm>
 #include <list>
-#include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "net/runtime.hpp"
 
@@ -26,6 +27,8 @@
 class ProbeQueue {
  public:
   explicit ProbeQueue(double cap) : cap_(cap) {}
+  ProbeQueue(const ProbeQueue&) = delete;
+  ProbeQueue& operator=(const ProbeQueue&) = delete;
   static constexpr std::size_t kMaxProbes = 512;
 
   /// False if the queue is full; a probe of a job that has one here already only renews it.
@@ -38,10 +41,14 @@
   const Probe* choose(net::Time now, Fits fits) const {
     const Probe* first = nullptr;
     const Probe* best = nullptr;
+    // The longest task that may still pass all that stand before: a probe that cannot run now (no room for it, or its
+    // owner asked to wait) is not passed by others.
+    auto may_pass = wire::Seconds::max();
     for (const auto& p : probes_) {
       if (p.not_before > now || !fits(p)) continue;
       if (!first) first = &p;
-      if ((!best || p.work() < best->work()) && may_pass(p, now, fits)) best = &p;
+      if ((!best || p.work() < best->work()) && p.estimate <= may_pass) best = &p;
+      may_pass = std::min(may_pass, cap_ * p.estimate - p.bypassed);
     }
     return best ? best : first;
   }
@@ -60,16 +67,8 @@
   bool empty() const { return probes_.empty(); }
 
  private:
-  // A probe that cannot run now (no room for it, or its owner asked to wait) is not passed by others.
-  template <class Fits>
-  bool may_pass(const Probe& passer, net::Time now, Fits fits) const {
-    for (const auto& p : probes_) {
-      if (&p == &passer) return true;
-      if (p.not_before <= now && fits(p) && p.bypassed + passer.estimate > cap_ * p.estimate) return false;
-    }
-    return true;
-  }
   double cap_;
   std::list<Probe> probes_;
+  std::unordered_map<std::string, std::list<Probe>::iterator> by_job_;
 };
 }  // namespace limemast::sched
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -2,116 +2,179 @@
 
 #include <cbor.h>
 
-#include <cstdlib>
-#include <memory>
+#include <array>
 
 namespace limemast::wire {
 namespace {
-struct Unref {
-  void operator()(cbor_item_t* item) const { cbor_decref(&item); }
-};
-using Item = std::unique_ptr<cbor_item_t, Unref>;
-constexpr int kMaxDepth = 16;
+constexpr std::size_t kMaxDepth = 16;
+constexpr std::size_t kLongestHead = 9;  ///< the longest head of an item: its kind and eight bytes
 
-Item encode(const json& value) {
-  switch (value.type()) {
-    case json::value_t::boolean:
-      return Item(cbor_build_bool(value.get<bool>()));
-    case json::value_t::number_unsigned:
-      return Item(cbor_build_uint64(value.get<std::uint64_t>()));
-    case json::value_t::number_integer: {
-      const auto n = value.get<std::int64_t>();
-      return Item(n >= 0 ? cbor_build_uint64(static_cast<std::uint64_t>(n))
-                         : cbor_build_negint64(static_cast<std::uint64_t>(-(n + 1))));
-    }
-    case json::value_t::number_float:
-      return Item(cbor_build_float8(value.get<double>()));
-    case json::value_t::string: {
-      const auto& s = value.get_ref<const std::string&>();
-      return Item(cbor_build_stringn(s.data(), s.size()));
-    }
-    case json::value_t::array: {
-      Item array(cbor_new_definite_array(value.size()));
-      for (const auto& element : value) {
-        auto item = encode(element);
-        if (!cbor_array_push(array.get(), item.get())) throw std::bad_alloc();
+/// Items go straight into the frame: a tree of libcbor's items costs an allocation and a free for each.
+class Encoder {
+ public:
+  void put(const json& value) {
+    switch (value.type()) {
+      case json::value_t::boolean: return head(cbor_encode_bool, value.get<bool>());
+      case json::value_t::number_unsigned: return head(cbor_encode_uint, value.get<std::uint64_t>());
+      case json::value_t::number_integer: {
+        const auto n = value.get<std::int64_t>();
+        return n >= 0 ? head(cbor_encode_uint, static_cast<std::uint64_t>(n))
+                      : head(cbor_encode_negint, static_cast<std::uint64_t>(-(n + 1)));
       }
-      return array;
+      case json::value_t::number_float: return head(cbor_encode_double, value.get<double>());
+      case json::value_t::string: return text(value.get_ref<const std::string&>());
+      case json::value_t::array:
+        head(cbor_encode_array_start, value.size());
+        for (const auto& element : value) put(element);
+        return;
+      case json::value_t::object:
+        head(cbor_encode_map_start, value.size());
+        for (auto it = value.begin(); it != value.end(); ++it) {
+          text(it.key());
+          put(it.value());
+        }
+        return;
+      default: out_.push_back(kNull); return;
     }
-    case json::value_t::object: {
-      Item map(cbor_new_definite_map(value.size()));
-      for (const auto& [name, element] : value.items()) {
-        Item key(cbor_build_stringn(name.data(), name.size()));
-        auto item = encode(element);
-        if (!cbor_map_add(map.get(), cbor_pair{key.get(), item.get()})) throw std::bad_alloc();
-      }
-      return map;
-    }
-    default:
-      return Item(cbor_new_null());
   }
-}
+  std::vector<std::uint8_t> take() { return std::move(out_); }
 
-bool decode(const cbor_item_t* item, json& out, int depth) {
-  if (depth > kMaxDepth) return false;
-  switch (cbor_typeof(item)) {
-    case CBOR_TYPE_UINT:
-      out = cbor_get_int(item);
-      return true;
-    case CBOR_TYPE_NEGINT:
-      out = -static_cast<std::int64_t>(cbor_get_int(item)) - 1;
-      return true;
-    case CBOR_TYPE_STRING:
-      if (!cbor_string_is_definite(item)) return false;
-      out = std::string(reinterpret_cast<const char*>(cbor_string_handle(item)), cbor_string_length(item));
-      return true;
-    case CBOR_TYPE_ARRAY: {
-      out = json::array();
-      for (std::size_t i = 0; i < cbor_array_size(item); ++i) {
-        out.push_back(nullptr);
-        if (!decode(cbor_array_handle(item)[i], out.back(), depth + 1)) return false;
-      }
-      return true;
+ private:
+  static constexpr std::uint8_t kNull = 0xf6;
+  template <class Encode, class Value>
+  void head(Encode encode, Value value) {
+    std::array<unsigned char, kLongestHead> buffer;
+    const auto n = encode(value, buffer.data(), buffer.size());
+    out_.insert(out_.end(), buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(n));
+  }
+  void text(const std::string& s) {
+    head(cbor_encode_string_start, s.size());
+    out_.insert(out_.end(), s.begin(), s.end());
+  }
+  std::vector<std::uint8_t> out_;
+};
+
+/// Takes the events of libcbor's decoder and builds the value from them.
+class Decoder {
+ public:
+  bool broken() const { return broken_; }
+  bool finished() const { return started_ && open_.empty(); }
+  json take() { return std::move(root_); }
+
+  void value(json v) {
+    auto* place = slot(v);
+    if (!place) return;
+    *place = std::move(v);
+    close_full();
+  }
+  void collection(json empty, std::size_t size) {
+    auto* place = slot(empty);
+    if (!place) return;
+    *place = std::move(empty);
+    if (open_.size() >= kMaxDepth) return fail();
+    open_.push_back({place, size, {}, false});
+    close_full();
+  }
+  void fail() { broken_ = true; }
+
+ private:
+  struct Frame {
+    json* container;
+    std::size_t left;  ///< elements, or pairs, that have yet to come
+    std::string key;
+    bool has_key;
+  };
+  /// Where the next item goes; nullptr if it was a key, or is none of the forms that we speak.
+  json* slot(json& v) {
+    if (broken_ || (started_ && open_.empty())) return fail(), nullptr;
+    if (!started_) {
+      started_ = true;
+      return &root_;
     }
-    case CBOR_TYPE_MAP: {
-      out = json::object();
-      for (std::size_t i = 0; i < cbor_map_size(item); ++i) {
-        json key;
-        const auto& pair = cbor_map_handle(item)[i];
-        if (!decode(pair.key, key, depth + 1) || !key.is_string()) return false;
-        if (!decode(pair.value, out[key.get<std::string>()], depth + 1)) return false;
-      }
-      return true;
+    auto& frame = open_.back();
+    if (frame.container->is_array()) {
+      --frame.left;
+      frame.container->push_back(nullptr);
+      return &frame.container->back();
     }
-    case CBOR_TYPE_FLOAT_CTRL:
-      // The width comes first: libcbor asserts that what it is asked for a control value is one.
-      if (!cbor_float_ctrl_is_ctrl(item))
-        out = cbor_float_get_float(item);
-      else if (cbor_is_bool(item))
-        out = cbor_get_bool(item);
-      else
-        out = nullptr;
-      return true;
-    default:
-      return false;
+    if (!frame.has_key) {
+      if (!v.is_string()) return fail(), nullptr;
+      frame.key = std::move(v.get_ref<std::string&>());
+      frame.has_key = true;
+      return nullptr;
+    }
+    frame.has_key = false;
+    --frame.left;
+    return &(*frame.container)[frame.key];
+  }
+  void close_full() {
+    while (!open_.empty() && open_.back().left == 0 && !open_.back().has_key) open_.pop_back();
   }
+  json root_;
+  std::vector<Frame> open_;
+  bool started_ = false;
+  bool broken_ = false;
+};
+
+Decoder& decoder(void* context) { return *static_cast<Decoder*>(context); }
+template <class Number>
+void on_uint(void* context, Number n) {
+  decoder(context).value(static_cast<std::uint64_t>(n));
+}
+template <class Number>
+void on_negint(void* context, Number n) {
+  decoder(context).value(-static_cast<std::int64_t>(n) - 1);
+}
+template <class Number>
+void on_float(void* context, Number n) {
+  decoder(context).value(static_cast<double>(n));
+}
+void on_refused(void* context) { decoder(context).fail(); }
+
+const cbor_callbacks& callbacks() {
+  static const cbor_callbacks c = [] {
+    cbor_callbacks v{};
+    v.uint8 = on_uint<std::uint8_t>;
+    v.uint16 = on_uint<std::uint16_t>;
+    v.uint32 = on_uint<std::uint32_t>;
+    v.uint64 = on_uint<std::uint64_t>;
+    v.negint8 = on_negint<std::uint8_t>;
+    v.negint16 = on_negint<std::uint16_t>;
+    v.negint32 = on_negint<std::uint32_t>;
+    v.negint64 = on_negint<std::uint64_t>;
+    v.byte_string_start = v.string_start = v.indef_array_start = v.indef_map_start = v.indef_break = on_refused;
+    v.byte_string = [](void* context, cbor_data, std::size_t) { decoder(context).fail(); };
+    v.string = [](void* context, cbor_data data, std::size_t size) {
+      decoder(context).value(std::string(reinterpret_cast<const char*>(data), size));
+    };
+    v.array_start = [](void* context, std::size_t size) { decoder(context).collection(json::array(), size); };
+    v.map_start = [](void* context, std::size_t size) { decoder(context).collection(json::object(), size); };
+    v.tag = [](void* context, std::uint64_t) { decoder(context).fail(); };
+    v.float2 = v.float4 = on_float<float>;
+    v.float8 = on_float<double>;
+    v.undefined = v.null = [](void* context) { decoder(context).value(nullptr); };
+    v.boolean = [](void* context, bool b) { decoder(context).value(b); };
+    return v;
+  }();
+  return c;
 }
 }  // namespace
 
 std::vector<std::uint8_t> to_cbor(const json& message) {
-  const auto item = encode(message);
-  unsigned char* buffer = nullptr;
-  std::size_t capacity = 0;
-  const auto size = cbor_serialize_alloc(item.get(), &buffer, &capacity);
-  const std::unique_ptr<unsigned char, decltype(&std::free)> owned(buffer, &std::free);
-  return {buffer, buffer + size};
+  Encoder encoder;
+  encoder.put(message);
+  return encoder.take();
 }
 
 std::optional<json> from_cbor(const std::uint8_t* data, std::size_t size) {
-  cbor_load_result result{};
-  Item item(size == 0 ? nullptr : cbor_load(data, size, &result));
-  json out;
-  if (!item || result.read != size || !decode(item.get(), out, 0)) return std::nullopt;
-  return out;
+  Decoder decoder;
+  while (size > 0) {
+    const auto step = cbor_stream_decode(data, size, &callbacks(), &decoder);
+    if (step.status != CBOR_DECODER_FINISHED || step.read == 0 || step.read > size || decoder.broken()) return std::nullopt;
+    data += step.read;
+    size -= step.read;
+  }
+  if (!decoder.finished()) return std::nullopt;
+  return decoder.take();
 }
 }  // namespace limemast::wire
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -17,6 +17,7 @@
   Cause cause = Cause::None;
   bool exited() const { return phase == TaskPhase::Exited; }
   bool runs() const { return phase == TaskPhase::Running || phase == TaskPhase::Saving; }
+  bool operator==(const TaskReport&) const = default;
 };
 
 /// A worker's account of itself; (tenure, tick) orders the accounts of one machine.
@@ -35,6 +36,11 @@
   bool newer_than(const Report& other) const {
     return tenure != other.tenure ? tenure > other.tenure : tick > other.tick;
   }
+  /// Nothing but its place in the order is new. How long a notice still runs matters to nobody.
+  bool repeats(const Report& other) const {
+    return tenure == other.tenure && mandate == other.mandate && notice.has_value() == other.notice.has_value() &&
+           address == other.address && tasks == other.tasks;
+  }
   const TaskReport* find(const std::string& uid, std::uint32_t index, std::uint64_t attempt) const;
 };
 
--- /dev/null
+++ b/tests/machines/registry_test.cpp
@@ -0,0 +1,110 @@
+#include "machines/registry.hpp"
+
+#include <gtest/gtest.h>
+
+#include "standins/cluster.hpp"
+
+namespace limemast::machines {
+namespace {
+using namespace std::chrono_literals;
+
+class RegistryTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    wire::MachineType type;
+    type.name = "small";
+    type.cpus = 8;
+    type.ram_gb = 16;
+    registry_.set_types({type});
+  }
+  void put_job(const std::string& uid, bool is_long) {
+    wire::JobSpec spec;
+    spec.uid = uid;
+    spec.team = "red";
+    spec.workload = "w";
+    spec.image = "img";
+    spec.tasks = 100;
+    spec.cpus = 2;
+    spec.ram_gb = 1;
+    index_.put(uid, {cluster::JobIndex::record(spec, "node-0@1", 1, is_long, {}), 1});
+  }
+  standins::World world_{1};
+  wire::Settings settings_ = standins::settings_for_tests();
+  /// Only asked who is a member, which nobody is here.
+  struct Runtime final : net::Runtime {
+    net::Time now() const override { return {}; }
+    net::WallTime wall() const override { return {}; }
+    std::mt19937_64& random() override { return random_; }
+    TimerId after(net::Duration, std::function<void()>) override { return 0; }
+    void cancel(TimerId) override {}
+    void post(std::function<void()>) override {}
+    void http(const net::Endpoint&, net::HttpRequest, net::Duration, std::function<void(net::HttpResult)>) override {}
+    void send_peer(const std::string&, const wire::json&) override {}
+    std::mt19937_64 random_{1};
+  } runtime_;
+  store::Client client_{runtime_, settings_};
+  store::Mirror mirror_{runtime_, client_, "w/"};
+  cluster::Membership membership_{runtime_, settings_, client_, mirror_};
+  cluster::JobIndex index_{membership_};
+  Registry registry_{index_};
+};
+
+// Room, long tasks and running counts are kept as reports come in; a plain count over all reports must say the same.
+TEST_F(RegistryTest, WhatIsKeptEqualsAPlainCount) {
+  auto& random = world_.random;
+  std::map<std::string, std::uint64_t> ticks;
+  unsigned known = 0;
+  for (int step = 0; step < 2000; ++step) {
+    if (known < 12 && step % 40 == 0) put_job("wk-00000" + std::to_string(100 + known), known % 3 == 0), ++known;
+    wire::Report r;
+    r.machine = "m" + std::to_string(step / 100 * 10 + static_cast<int>(random() % 20));
+    if (registry_.gone(r.machine)) continue;
+    r.type = r.machine.back() == '7' ? "strange" : "small";
+    r.zone = "a";
+    r.tick = ++ticks[r.machine];
+    for (auto n = random() % 4; n > 0; --n)
+      r.tasks.push_back({"wk-00000" + std::to_string(100 + random() % 12), static_cast<std::uint32_t>(random() % 100), random() % 3,
+                         static_cast<wire::TaskPhase>(random() % 5), wire::Cause::None});
+    ASSERT_TRUE(registry_.update(r, "node-0@1", world_.now()));
+    if (random() % 50 == 0) registry_.remove(r.machine);
+
+    std::map<std::string, std::uint32_t> running;
+    for (const auto& [name, view] : registry_.views()) {
+      Room room = view.report.type == "small" ? Room{8, 16, 0} : Room{};
+      bool has_long = false;
+      bool unknown = view.report.type != "small";
+      for (const auto& t : view.report.tasks) {
+        running[t.uid] += t.phase == wire::TaskPhase::Running;
+        if (t.exited()) continue;
+        const auto* job = index_.find(t.uid);
+        unknown = unknown || !job;
+        if (!job) continue;
+        room -= Room::of(job->spec);
+        has_long = has_long || job->is_long;
+      }
+      if (unknown) room = {};
+      EXPECT_DOUBLE_EQ(registry_.reported_room(view).cpus, room.cpus) << name << " step " << step;
+      EXPECT_DOUBLE_EQ(registry_.reported_room(view).ram_gb, room.ram_gb);
+      EXPECT_EQ(registry_.holds_long(view), has_long && view.report.type == "small");
+    }
+    for (unsigned i = 0; i < 12; ++i) {
+      const auto uid = "wk-00000" + std::to_string(100 + i);
+      EXPECT_EQ(registry_.running(uid), running[uid]) << uid << " step " << step;
+    }
+    if (HasFailure()) return;
+  }
+}
+
+// A machine heard by two controllers in turn may be written down twice: it is gone when no record names it any more.
+TEST_F(RegistryTest, AMachineLeavesWithItsLastRecord) {
+  EXPECT_TRUE(registry_.set_record("w/machine/a", {"m1", "m2"}).empty());
+  EXPECT_TRUE(registry_.set_record("w/machine/b", {"m2", "m3"}).empty());
+  EXPECT_EQ(registry_.set_record("w/machine/a", {}), std::vector<std::string>{"m1"});
+  EXPECT_TRUE(registry_.registered("m2"));
+  EXPECT_EQ(registry_.records_of("m2").size(), 1u);
+  EXPECT_EQ(registry_.set_record("w/machine/b", {"m3"}), std::vector<std::string>{"m2"});
+  EXPECT_FALSE(registry_.registered("m2"));
+  EXPECT_TRUE(registry_.registered("m3"));
+}
+}  // namespace
+}  // namespace limemast::machines
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -44,6 +44,8 @@
   EXPECT_TRUE(left.empty()) << left.size() << " left, first " << left.front() << ", seed " << GetParam();
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range<std::uint64_t>(1, 31));
+// Seeds that once failed: a job left over (56).
+INSTANTIATE_TEST_SUITE_P(Found, RandomDay, testing::Values<std::uint64_t>(56));
 
 /// The checks themselves: each planted violation must be caught, and a good day must not be.
 class PlantedViolation : public testing::Test {
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -83,6 +83,7 @@
     bool accepted = false;
     std::string final;
     Time last_answer{};
+    unsigned aborts_answered = 0;
   };
 
   void start(std::size_t node);
