Services find room: short part of spot machines, sizing by zone, no judging of cut-off machines

Also: submissions that the state service cannot take soon get 503 with the time at which to come back, instead of standing in line past their user's patience; surplus machines without long tasks are drained; the services' image counts by the part of the wait that their users allow.

Ruled out: machines that never boot, refusals by the cloud.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -72,6 +72,7 @@
 }
 
 void Node::on_generation() {
+  client_.share_among(membership_.generation().members.size());
   host_.on_generation();
   book_.on_generation();
   fleet_.on_generation();
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -18,6 +18,11 @@
 constexpr double kCallShare = 0.8;   ///< of the cloud's rate; only the leader calls
 constexpr double kBootFactor = 4;    ///< a machine that takes longer than this times its boot time never comes
 constexpr auto kStarved = 4s;        ///< a long job that waits for longer gets machines where it may go
+constexpr double kSpareShare = 0.06;  ///< ordinary machines beyond what is needed now
+constexpr double kDrainSlack = 0.1;   ///< working machines are drained only beyond this much of the need
+constexpr std::size_t kDrainPart = 50;  ///< and so much of the fleet at a time
+constexpr std::size_t kMaxHires = 6;
+constexpr std::size_t kMaxUnregister = 4;  ///< records of machines changed in one transaction
 constexpr std::uint32_t kMaxHire = 50;
 constexpr std::size_t kMaxRelease = 100;
 constexpr std::size_t kSickErrors = 3;
@@ -132,7 +137,8 @@
     m.spot = view.report.spot;
     m.phase = wire::MachinePhase::Running;
     // Silent for a whole lease: its tasks have ended or it is no more. Giving it back proves it.
-    if (now - view.heard > lease + net::to_duration(settings_.report)) to_release_.insert(name);
+    // What another controller hears counts only while we can speak with it.
+    if (now - std::max(view.heard, registry_.linked_since()) > lease + net::to_duration(settings_.report)) to_release_.insert(name);
     // A machine that fails tasks of different jobs is faulty; a job that fails everywhere is not the machine's fault.
     auto& errors = errors_[name];
     for (const auto& t : view.report.tasks) {
@@ -157,7 +163,7 @@
     const auto* type = registry_.type(m.type);
     const auto boot = type ? net::to_duration(type->boot * kBootFactor) + 30s : net::Duration(300s);
     // Registered, yet silent since we lead; or booting for ever.
-    if (!heard && registry_.registered(name) && now - std::max(m.since, led_since_) > lease + 10s) to_release_.insert(name);
+    if (!heard && registry_.registered(name) && now - std::max({m.since, led_since_, registry_.linked_since()}) > lease + 10s) to_release_.insert(name);
     if (!heard && !registry_.registered(name) && now - m.since > boot) to_release_.insert(name);
   }
   std::erase_if(errors_, [&](const auto& e) { return !registry_.find(e.first); });
@@ -171,67 +177,136 @@
   return n;
 }
 
-void Fleet::size() {
-  const auto now = runtime_.now();
-  Demand demand;
-  std::vector<const wire::JobSpec*> firm_jobs, cheap_jobs;
+Fleet::Need Fleet::need(std::vector<const wire::JobSpec*>& firm_jobs, std::vector<const wire::JobSpec*>& cheap_jobs) const {
+  Need out;
+  double anywhere = 0;
+  double largest = 0;
+  std::set<std::string> zones;
+  for (const auto& [name, t] : registry_.types()) {
+    largest = std::max(largest, t.cpus);
+    zones.insert(t.zones.begin(), t.zones.end());
+  }
   for (const auto& [uid, open] : index_.all()) {
     if (open.ended) continue;
-    double tasks = open.spec.tasks;
-    if (auto it = book_.jobs().find(uid); it != book_.jobs().end()) tasks -= it->second->done_count;
-    const double cpus = tasks * open.spec.cpus;
-    if (open.spec.service || !open.spec.spot) {
-      demand.firm += cpus;
-      firm_jobs.push_back(&open.spec);
-    } else {
-      demand.cheap += cpus;
-      cheap_jobs.push_back(&open.spec);
+    const auto& s = open.spec;
+    const auto it = book_.jobs().find(uid);
+    const auto* job = it == book_.jobs().end() ? nullptr : it->second.get();
+    const double tasks = s.tasks - (job ? job->done_count : 0);
+    if (!s.service && s.spot) {
+      out.cheap += tasks * s.cpus;
+      cheap_jobs.push_back(&s);
+      continue;
     }
+    firm_jobs.push_back(&s);
+    double waiting = tasks;
+    if (job)
+      for (const auto& [zone, count] : job->zones) {
+        out.firm[zone] += count * s.cpus;
+        waiting -= count;
+      }
+    (s.zone ? out.firm[*s.zone] : anywhere) += std::max(0.0, waiting) * s.cpus;
   }
-  Demand have;
+  double total = anywhere;
+  for (const auto& [zone, cpus] : out.firm) total += cpus;
+  // Room for what comes next and for the loss of a machine: in each zone, since services may not all go to one.
+  if (total > 0) anywhere += total * kSpareShare + largest / 2;
+  for (const auto& zone : zones) out.firm[zone] += anywhere / static_cast<double>(zones.size());
+  return out;
+}
+
+Fleet::Need Fleet::have() const {
+  Need out;
   for (const auto& [name, m] : machines_) {
     const auto* type = registry_.type(m.type);
     if (!type || to_release_.contains(name) || registry_.closed(name)) continue;
     if (const auto* view = registry_.find(name); view && view->report.notice) continue;
-    (m.spot ? have.cheap : have.firm) += type->cpus;
+    (m.spot ? out.cheap : out.firm[m.zone]) += type->cpus;
   }
   for (const auto& h : hires_)
-    if (const auto* type = registry_.type(h.type)) (h.spot ? have.cheap : have.firm) += type->cpus * h.count;
+    if (const auto* type = registry_.type(h.type)) (h.spot ? out.cheap : out.firm[h.zone]) += type->cpus * h.count;
+  return out;
+}
 
-  double largest = 0;
-  for (const auto& [name, t] : registry_.types()) largest = std::max(largest, t.cpus);
-  // Room for what comes next and for the loss of a machine.
-  double firm_wanted = demand.firm > 0 ? demand.firm * 1.06 + largest / 2 : 0;
-  if (firm_wanted > have.firm) hire(false, firm_wanted - have.firm, firm_jobs);
-  const double spare = std::max(0.0, have.firm - firm_wanted);
-  if (demand.cheap > have.cheap + spare && !hire(true, demand.cheap - have.cheap - spare, cheap_jobs)) {
-    // No spot machine is to be had anywhere: what waits gets ordinary ones.
-    firm_wanted += (demand.cheap - have.cheap) * settings_.tuning.overflow;
-    if (firm_wanted > have.firm) hire(false, firm_wanted - have.firm, cheap_jobs);
-  } else if (demand.cheap > have.cheap) {
-    firm_wanted += std::min(spare, (demand.cheap - have.cheap) * settings_.tuning.overflow);
+Fleet::Need Fleet::recent_peak(const Need& now_needed) {
+  // What was needed a moment ago may be needed again in a moment: a machine given back too early costs a boot.
+  const auto now = runtime_.now();
+  recent_.emplace_back(now, now_needed);
+  while (now - recent_.front().first > net::to_duration(settings_.tuning.idle_return)) recent_.pop_front();
+  auto peak = now_needed;
+  for (const auto& [at, past] : recent_) {
+    peak.cheap = std::max(peak.cheap, past.cheap);
+    for (const auto& [zone, cpus] : past.firm) peak.firm[zone] = std::max(peak.firm[zone], cpus);
   }
+  return peak;
+}
 
+void Fleet::size() {
+  std::vector<const wire::JobSpec*> firm_jobs, cheap_jobs;
+  const auto wanted = need(firm_jobs, cheap_jobs);
+  auto there = have();
+  double spare = 0;
+  double short_of = 0;
+  for (const auto& [zone, cpus] : wanted.firm) {
+    spdlog::debug("ordinary machines in {}: {:.0f} CPUs wanted, {:.0f} there or coming, generation {}", zone, cpus, there.firm[zone],
+                  membership_.generation().number);
+    const double missing = cpus - there.firm[zone];
+    spare += std::max(0.0, -missing);
+    const std::set<std::string> here{zone};
+    if (missing > 0 && !hire(false, missing, firm_jobs, &here)) short_of += missing;
+  }
+  // A zone that has no more to give leaves its part to the others.
+  if (short_of > spare) hire(false, short_of - spare, firm_jobs);
+  double unmet = wanted.cheap - there.cheap - spare;
+  if (unmet > 0 && !hire(true, unmet, cheap_jobs) && settings_.tuning.overflow > 0) {
+    // No spot machine is to be had anywhere: what waits gets ordinary ones.
+    hire(false, unmet * settings_.tuning.overflow, cheap_jobs);
+  }
   hire_for_starved();
+  const auto peak = recent_peak(wanted);
+  there = have();
+  give_up_surplus(peak, there);
+}
 
-  // Giving back: what has been idle for a while and is more than is wanted.
+void Fleet::give_up_surplus(const Need& wanted, Need& there) {
+  const auto now = runtime_.now();
+  const auto fresh = net::to_duration(settings_.report * 2) + 2s;
+  std::vector<std::pair<std::size_t, std::string>> light;  // machines without long tasks, and how many they run
   for (auto& [name, m] : machines_) {
-    const auto* type = registry_.type(m.type);
-    if (!type || m.phase != wire::MachinePhase::Running || !registry_.find(name)) continue;
-    if (busy(name)) {
+    const auto* view = registry_.find(name);
+    // What is on a machine that a controller hears with whom we cannot speak is not known here.
+    if (!view || now - view->heard > fresh || m.phase != wire::MachinePhase::Running || registry_.holds_long(*view) || book_.has_long(name)) {
       m.idle_since = {};
       continue;
     }
-    if (m.idle_since == net::Time{}) m.idle_since = now;
-    if (registry_.closed(name) || now - m.idle_since < net::to_duration(settings_.tuning.idle_return)) continue;
-    const double surplus = m.spot ? have.cheap - demand.cheap : have.firm - firm_wanted;
-    if (surplus < type->cpus) continue;
+    if (busy(name))
+      m.idle_since = {};
+    else if (m.idle_since == net::Time{})
+      m.idle_since = now;
+    if (registry_.closed(name) || now - std::max(m.since, view->first_heard) < net::to_duration(settings_.tuning.idle_return)) continue;
+    light.emplace_back(view->report.tasks.size(), name);
+  }
+  // Idle ones first. Short tasks are soon over, and where their probes are spread over all machines few would ever be
+  // idle for long: the machine takes nothing new, and goes when its last task is done.
+  std::sort(light.begin(), light.end());
+  std::size_t drained = 0;
+  const std::size_t at_once = machines_.size() / kDrainPart + 1;
+  for (const auto& [tasks, name] : light) {
+    auto& m = machines_.at(name);
+    const auto* type = registry_.type(m.type);
+    if (!type) continue;
+    const bool idle = m.idle_since != net::Time{} && now - m.idle_since >= net::to_duration(settings_.tuning.idle_return);
+    auto& owned = m.spot ? there.cheap : there.firm[m.zone];
+    const auto zone = wanted.firm.find(m.zone);
+    const double needed = m.spot ? wanted.cheap : zone == wanted.firm.end() ? 0 : zone->second;
+    if (owned - needed < type->cpus + (idle ? 0 : needed * kDrainSlack)) continue;
+    if (!idle && ++drained > at_once) continue;
     registry_.close(name);
     m.closed_at = now;
-    (m.spot ? have.cheap : have.firm) -= type->cpus;
+    owned -= type->cpus;
   }
   for (auto& [name, m] : machines_) {
     if (!registry_.closed(name) || m.closed_at == net::Time{} || now - m.closed_at < kCloseFor) continue;
+    if (const auto* view = registry_.find(name); view && now - view->heard > fresh) continue;
     if (!busy(name)) to_release_.insert(name);
   }
 }
@@ -277,7 +352,9 @@
 
 bool Fleet::hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting, const std::set<std::string>* zones) {
   const auto now = runtime_.now();
-  if (waiting.empty() || !hires_.empty()) return true;
+  // One request at a time for a zone and kind: what it brings decides whether more is asked for.
+  if (waiting.empty() || hires_.size() >= kMaxHires) return true;
+  if (std::any_of(hires_.begin(), hires_.end(), [&](const Hire& h) { return h.spot == spot && (!zones || zones->contains(h.zone)); })) return true;
   struct Offer {
     const wire::MachineType* type;
     std::string zone;
@@ -310,9 +387,7 @@
     return by_zone[a.zone] < by_zone[b.zone];
   });
   const auto& best = offers.front();
-  // Part of the need at a time, so that the zones fill evenly.
-  const double share = spot ? cpus : std::max(cpus / 2, std::min(cpus, best.type->cpus));
-  const auto count = static_cast<std::uint32_t>(std::clamp(std::ceil(share / best.type->cpus - 0.25), 1.0, double{kMaxHire}));
+  const auto count = static_cast<std::uint32_t>(std::clamp(std::ceil(cpus / best.type->cpus - 0.25), 1.0, double{kMaxHire}));
   Hire h;
   h.name = "r-" + std::to_string(membership_.generation().number) + "-" + settings_.label + "-" + std::to_string(next_hire_++);
   h.type = best.type->name;
@@ -396,10 +471,16 @@
     if (gone_.contains(name) || registry_.gone(name)) to_unregister_.insert(name);  // written down only after it was given back
   std::erase_if(to_unregister_, [&](const auto& name) { return !registry_.registered(name); });
   if (to_unregister_.empty() || unregistering_ || !membership_.entitled()) return;
+  // Machines with tasks go first: they are handed out anew once the record says that they are gone. The rest waits
+  // behind users' writes, which a large fleet that shrinks would hold up for seconds.
+  std::vector<std::string> names(to_unregister_.begin(), to_unregister_.end());
+  const auto waiting = std::partition(names.begin(), names.end(), [&](const auto& name) { return busy(name); });
+  const auto priority = waiting == names.begin() ? store::Priority::Background : store::Priority::User;
+  const auto limit = std::min<std::size_t>(settings_.txn_ops, kMaxUnregister);
   std::map<std::string, std::set<std::string>> records;
-  for (const auto& name : to_unregister_) {
-    if (records.size() >= settings_.txn_ops) break;
-    for (auto& [record, machines] : registry_.records_of(name)) records.try_emplace(record, std::move(machines)).first->second.erase(name);
+  for (const auto& name : names) {
+    if (records.size() >= limit) break;
+    for (auto& [record, machines] : registry_.records_of(name)) records.try_emplace(record, std::move(machines));
   }
   for (auto& [record, machines] : records)
     std::erase_if(machines, [&](const auto& name) { return to_unregister_.contains(name); });
@@ -414,7 +495,7 @@
   }
   if (writes.empty()) return;
   unregistering_ = true;
-  client_.txn(store::Priority::User, when, writes, [this](store::TxnResult) { unregistering_ = false; });
+  client_.txn(priority, when, writes, [this](store::TxnResult) { unregistering_ = false; });
 }
 
 void Fleet::tick() {
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -34,9 +34,9 @@
     bool sent = false;
   };
   /// Capacity by kind of machine, in CPUs.
-  struct Demand {
-    double firm = 0;   ///< work that ordinary machines alone may take
-    double cheap = 0;  ///< work that spot machines may take
+  struct Need {
+    std::map<std::string, double> firm;  ///< by zone: for work that ordinary machines alone may take
+    double cheap = 0;                    ///< for work that spot machines may take
   };
 
   void fetch_catalog();
@@ -44,6 +44,11 @@
   void on_list(const std::vector<wire::ListedMachine>& listed);
   void watch_health();
   void size();
+  Need need(std::vector<const wire::JobSpec*>& firm_jobs, std::vector<const wire::JobSpec*>& cheap_jobs) const;
+  Need have() const;
+  /// The most that was needed of late.
+  Need recent_peak(const Need& now_needed);
+  void give_up_surplus(const Need& wanted, Need& there);
   /// False if no such machine is to be had at present.
   bool hire(bool spot, double cpus, const std::vector<const wire::JobSpec*>& waiting, const std::set<std::string>* zones = nullptr);
   void hire_for_starved();
@@ -70,6 +75,7 @@
   std::vector<Hire> hires_;
   std::map<std::tuple<std::string, std::string, bool>, net::Time> refused_until_;
   std::map<std::string, net::Time> waiting_since_;
+  std::deque<std::pair<net::Time, Need>> recent_;
   std::set<std::string> to_release_;
   std::set<std::string> to_unregister_;
   struct Errors {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -13,6 +13,7 @@
 constexpr auto kAskAfter = 3s;
 constexpr auto kCommitRetry = 300ms;
 constexpr auto kRefusedPause = 500ms;
+constexpr auto kRefusedSame = 5s;
 constexpr auto kFailedOn = 30s;
 constexpr auto kFailurePause = 250ms;
 constexpr unsigned kMaxDoublings = 7;
@@ -298,6 +299,7 @@
       if (auto* job = find(uid)) unbind(*job, index, true);
   }
   read_.erase(machine);
+  refused_.erase(machine);
   least_read_.reset();
   again_.erase(machine);
   for (auto& [uid, job] : jobs_) job->probes.erase(machine);
@@ -386,7 +388,11 @@
 
 bool Book::refused_lately(const std::string& machine) const {
   auto it = refused_.find(machine);
-  return it != refused_.end() && runtime_.now() - it->second < kRefusedPause;
+  if (it == refused_.end()) return false;
+  // What its host holds back for others shows here with the machine's next report: until then asking again is vain.
+  const auto* view = registry_.find(machine);
+  const auto pause = view && view->report.tick == it->second.tick ? kRefusedSame : kRefusedPause;
+  return runtime_.now() - it->second.at < pause;
 }
 
 bool Book::place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict) {
@@ -428,7 +434,8 @@
   auto& b = it->second;
   if (b.settled) return;
   if (!m.at("present").get<bool>()) {
-    refused_[b.machine] = runtime_.now();
+    const auto* view = registry_.find(b.machine);
+    refused_[b.machine] = {runtime_.now(), view ? view->report.tick : 0};
     return unbind(*job, index, true);
   }
   b.settled = true;
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -151,7 +151,11 @@
   mutable std::optional<std::uint64_t> least_read_;  ///< of all registered machines; empty: to be found anew
   std::uint64_t changes_ = 0;
   std::uint64_t arrivals_ = 0;
-  std::map<std::string, net::Time> refused_;
+  struct Refusal {
+    net::Time at{};
+    std::uint64_t tick = 0;  ///< the newest report of the machine that was known here
+  };
+  std::map<std::string, Refusal> refused_;
   std::uint64_t attempts_ = 0;
   net::Time last_record_{};
   bool loading_ = false;
--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -1,6 +1,9 @@
 #include "jobs/frontdesk.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace limemast::jobs {
 namespace {
@@ -15,10 +18,18 @@
 constexpr unsigned kAcceptTries = 4;
 constexpr auto kAcceptPause = 100ms;
 constexpr int kRetryAfter = 1;
+constexpr int kLongestRetry = 30;      ///< users wait no longer than this, whatever they are told
+constexpr auto kAcceptPatience = 2s;   ///< a submission that would stand in line for longer is turned away
+constexpr auto kAskPatience = 1s;      ///< so is a poll: its user waits for two seconds
 
 net::HttpResponse status_of(const std::string& uid, const Status& s, int code = 200) {
   return {code, json{{"uid", uid}, {"phase", name_of(s.phase)}, {"done", s.done}, {"running", s.running}}.dump(), 0, {}};
 }
+/// Turned away at once, with the time by which those that came before will have been served.
+net::HttpResponse busy(net::Duration wait) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+  return {503, R"({"error":"busy"})", std::clamp(static_cast<int>(seconds), kRetryAfter, kLongestRetry), {}};
+}
 net::HttpResponse error(int code, const std::string& what) {
   return {code, json{{"error", what}}.dump(), code == 503 ? kRetryAfter : 0, {}};
 }
@@ -79,7 +90,15 @@
   }
   if (auto why = never_runs(*spec)) return respond(error(422, *why));
   // What the state service cannot take at present is turned away at once, with the time to come back.
-  if (client_.crowded()) return respond(error(503, "busy"));
+  const auto wait = client_.backlog();
+  const bool away = wait > kAcceptPatience;
+  // One line as it begins and one when it is well over, not one for each that comes.
+  if (away ? !turning_away_ : turning_away_ && wait < kAcceptPatience / 4) {
+    turning_away_ = away;
+    spdlog::info("{} submissions: {:.1f} s of writes wait for the state service, generation {}", away ? "turning away" : "taking all",
+                 net::to_seconds(wait).count(), membership_.generation().number);
+  }
+  if (away) return respond(busy(wait));
   if (spec->types) {
     // Only types that exist: a long list of others would not fit into a value of the state service.
     std::erase_if(*spec->types, [&](const std::string& t) { return !registry_.type(t); });
@@ -198,7 +217,7 @@
       done(Known::Yes, open_status(uid));
     });
   };
-  if (client_.crowded()) return done(Known::Unclear, {});
+  if (client_.backlog() > kAskPatience) return done(Known::Unclear, {});
   if (const auto* open = index_.find(uid); open && !open->ended)
     return open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
   final_record(done, [final_record, open_record, done] {
--- a/src/jobs/frontdesk.hpp
+++ b/src/jobs/frontdesk.hpp
@@ -45,5 +45,6 @@
   std::uint64_t next_question_ = 1;
   std::map<std::uint64_t, Asked> aborts_;
   std::uint64_t next_abort_ = 1;
+  bool turning_away_ = false;
 };
 }  // namespace limemast::jobs
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -1,6 +1,7 @@
 #include "jobs/placer.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limemast::jobs {
 namespace {
@@ -153,23 +154,40 @@
     sched::Candidate c;
     c.spot = r.spot;
     c.short_part = slot->short_part;
-    if (!registry_.has_image(r.machine, s.image) && type.fetch_gb_per_s > 0) c.delay = wire::Seconds(s.image_gb / type.fetch_gb_per_s);
+    c.delay = delay(*slot, s);
     c.price = (r.spot ? type.spot_price : type.price) / type.cpus;
     c.fill_after = 1 - (slot->free.cpus - need.cpus) / type.cpus;
     candidates.push_back(c);
     of.push_back(slot);
   }
-  const auto best = sched::choose(candidates, kIndifference);
+  const auto best = sched::choose(candidates, indifference(s.workload));
   if (!best || !book_.place(s.uid, of[*best]->view->report.machine)) return false;
   of[*best]->free -= need;
   return true;
 }
 
+/// By how much later a task may start on a machine that is better for the fleet: a part of what its class's users
+/// expect of a start, so that where they expect it at once, machines that have the image already are preferred.
+wire::Seconds Placer::indifference(const std::string& workload) const {
+  auto out = kIndifference;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait" && o.workload == workload) out = std::min(out, o.within / 4);
+  return out;
+}
+
+wire::Seconds Placer::delay(const Slot& slot, const wire::JobSpec& s) const {
+  if (registry_.has_image(slot.view->report.machine, s.image) || slot.type->fetch_gb_per_s <= 0) return wire::Seconds(0);
+  return wire::Seconds(s.image_gb / slot.type->fetch_gb_per_s);
+}
+
 bool Placer::evict_for(const Job& job, Slots& slots) {
-  // Work of lower rank gives way. The machine that needs the fewest tasks ended is taken.
+  // Work of lower rank gives way. The machine where the task starts soonest is taken, among those the one that needs
+  // the fewest tasks ended.
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
+  const auto step = std::max(indifference(s.workload), wire::Seconds(0.1));
   Slot* best = nullptr;
+  std::pair<double, std::size_t> best_cost;
   std::vector<wire::TaskReport> best_victims;
   for (auto& slot : slots) {
     if (slot.evicting || slot.short_part || !machines::Room::of(*slot.type).fits(need) || !book_.may_place(job, *slot.view, false)) continue;
@@ -187,8 +205,10 @@
       victims.push_back(*t);
     }
     if (!free.fits(need) || victims.empty()) continue;
-    if (!best || victims.size() < best_victims.size()) {
+    const std::pair cost{std::floor(delay(slot, s) / step), victims.size()};
+    if (!best || cost < best_cost) {
       best = &slot;
+      best_cost = cost;
       best_victims = std::move(victims);
     }
   }
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -32,6 +32,8 @@
   std::vector<Slot*> fitting(const Job& job, Slots& slots);
   void place_gang(const Job& job, Slots& slots);
   bool place_one(const Job& job, const std::vector<Slot*>& slots);
+  wire::Seconds indifference(const std::string& workload) const;
+  wire::Seconds delay(const Slot& slot, const wire::JobSpec& s) const;
   bool evict_for(const Job& job, Slots& slots);
 
   net::Runtime& runtime_;
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -18,6 +18,7 @@
 constexpr auto kOrderAge = 8s;
 constexpr auto kRefusedKept = 120s;
 constexpr auto kLookAgain = 2s;
+constexpr auto kBeatGap = 3500ms;
 constexpr auto kRegisterDelay = 100ms;  ///< machines that were hired together come up together: one record holds them
 constexpr auto kRegisterRetry = 1s;
 constexpr std::size_t kRecordMachines = 64;
@@ -128,12 +129,17 @@
     if (!std::exchange(h.heard_lately, false) || !ours(name)) continue;
     machines.insert(machines.end(), {json(name), json(h.told_tenure), json(h.told_tick)});
   }
-  if (!machines.empty() && membership_.entitled()) router_.broadcast("heard", {{"machines", machines}});
+  if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}});
+  const auto now = runtime_.now();
+  std::erase_if(beats_, [&](const auto& b) { return !membership_.member(b.first); });
+  for (const auto& tag : membership_.generation().members)
+    if (auto it = beats_.find(tag); tag != membership_.self() && (it == beats_.end() || now - it->second > kBeatGap)) registry_.set_linked_since(now);
 }
 
 /// Machines that another controller heard of late, and the newest report of each that it sent us. What was lost on a
 /// broken link, or came before we had joined, is asked for again.
 void Host::on_heard(const cluster::Tag& from, const json& m) {
+  beats_[from] = runtime_.now();
   const auto& list = m.at("machines");
   json missing = json::array();
   for (std::size_t i = 0; i + 2 < list.size(); i += 3) {
@@ -553,7 +559,9 @@
 }
 
 void Host::flush_soon(const std::string& machine) {
-  auto& h = hosted(machine);
+  auto found = hosted_.find(machine);
+  if (found == hosted_.end()) return;
+  auto& h = found->second;
   if (h.flush_armed || h.respond) return;  // a report that waits for its answer takes it along
   h.flush_armed = true;
   runtime_.after(kFlushDelay, [this, machine] {
@@ -570,9 +578,10 @@
   const auto now = runtime_.now();
   // Only to a machine that was heard just now: one that hangs would carry the order out whenever it goes on.
   const auto recent = net::to_duration(settings_.report * 1.25) + 1s;
-  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy || direct_calls_ >= kMaxDirect ||
-      h.respond || now < h.direct_bad_until || now - view->heard > recent)
+  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy || h.respond ||
+      now < h.direct_bad_until || now - view->heard > recent)
     return;
+  if (direct_calls_ >= kMaxDirect) return void(direct_waiting_.insert(machine));
   std::vector<wire::Order> orders(h.outbox.begin(), h.outbox.end());
   const auto mandate = mandate_for(h, *view);
   for (auto& d : h.deliveries) {
@@ -594,6 +603,7 @@
 
 void Host::on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result) {
   --direct_calls_;
+  if (!direct_waiting_.empty()) flush_soon(direct_waiting_.extract(direct_waiting_.begin()).value());
   auto it = hosted_.find(machine);
   if (it == hosted_.end()) return;
   auto& h = it->second;
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -18,7 +18,7 @@
   /// POST /hello
   void hello(const wire::Report& report, net::Responder respond);
   void on_generation();
-  /// Once a second: tells the others whom we heard, and writes down machines that are new.
+  /// Once a second: tells the others whom we heard, and looks whether they do so.
   void tick();
   void on_machine_removed(const std::string& machine);
   void on_job_ended(const std::string& uid);
@@ -111,6 +111,8 @@
   bool register_armed_ = false;
   std::uint64_t next_record_ = 1;
   std::size_t direct_calls_ = 0;
+  std::set<std::string> direct_waiting_;  ///< machines whose orders wait until fewer calls are under way
+  std::map<cluster::Tag, net::Time> beats_;  ///< when each other controller last said whom it hears
   std::map<std::string, net::Time> looked_into_;  ///< jobs unknown here, and when the state service was asked
   /// Attempts that we called absent: should their order come after all, it is refused.
   std::map<std::pair<std::string, std::uint64_t>, net::Time> refused_;
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -79,6 +79,10 @@
   bool gone(const std::string& machine) const { return gone_.contains(machine); }
   const std::map<std::string, unsigned>& all_registered() const { return registered_; }
   void heard(const std::string& machine, net::Time now);
+  /// Since when every other controller has been heard without a gap: what one of them hears is not known here
+  /// before, so the silence of a machine says nothing for that time.
+  net::Time linked_since() const { return linked_since_; }
+  void set_linked_since(net::Time since) { linked_since_ = since; }
   /// How many tasks of this job the newest reports show as running.
   std::uint32_t running(const std::string& uid) const;
 
@@ -115,5 +119,6 @@
   std::map<std::string, std::set<std::string>> images_;
   std::unordered_map<std::string, std::uint32_t> running_;
   LongMap long_map_;
+  net::Time linked_since_{};
 };
 }  // namespace limemast::machines
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -66,6 +66,7 @@
     close();
   }
   const Endpoint& to() const { return to_; }
+  std::list<Connection*>::iterator idle_at;  ///< its place among the client's idle ones, while it is one
 
  private:
   void on_connect(int status) {
@@ -183,12 +184,12 @@
 }
 
 void HttpClient::request(const Endpoint& to, HttpRequest request, Duration timeout, std::function<void(HttpResult)> done) {
-  auto& idle = idle_[to];
   std::shared_ptr<Connection> connection;
-  if (!idle.empty()) {
-    connection = std::move(idle.back());
-    idle.pop_back();
+  if (auto idle = idle_.find(to); idle != idle_.end()) {
+    connection = idle->second.back();
+    no_longer_idle(connection.get());
   } else {
+    if (open_.size() >= max_connections_ && !idle_longest_.empty()) idle_longest_.front()->close();
     if (open_.size() >= max_connections_) return done({});
     connection = std::make_shared<Connection>(*this, to);
     open_.push_back(connection);
@@ -201,18 +202,20 @@
 }
 
 void HttpClient::recycle(const std::shared_ptr<Connection>& connection) {
-  auto& idle = idle_[connection->to()];
-  if (idle.size() >= kMaxIdlePerEndpoint)
-    connection->close();
-  else
-    idle.push_back(connection);
+  if (auto it = idle_.find(connection->to()); it != idle_.end() && it->second.size() >= kMaxIdlePerEndpoint) return connection->close();
+  idle_[connection->to()].push_back(connection);
+  connection->idle_at = idle_longest_.insert(idle_longest_.end(), connection.get());
 }
 
-void HttpClient::forget(const Connection* connection) {
-  if (auto it = idle_.find(connection->to()); it != idle_.end()) {
-    std::erase_if(it->second, [&](const auto& c) { return c.get() == connection; });
-    if (it->second.empty()) idle_.erase(it);
-  }
+void HttpClient::no_longer_idle(Connection* connection) {
+  auto it = idle_.find(connection->to());
+  if (it == idle_.end() || std::erase_if(it->second, [&](const auto& c) { return c.get() == connection; }) == 0) return;
+  if (it->second.empty()) idle_.erase(it);
+  idle_longest_.erase(connection->idle_at);
+}
+
+void HttpClient::forget(Connection* connection) {
+  no_longer_idle(connection);
   open_.remove_if([&](const auto& c) { return c.get() == connection; });
 }
 }  // namespace limemast::net
--- a/src/net/token_bucket.hpp
+++ b/src/net/token_bucket.hpp
@@ -21,6 +21,13 @@
     const double missing = std::min(amount, burst_) - tokens_;
     return missing <= 0 ? Duration::zero() : to_duration(wire::Seconds(missing / rate_)) + 1ms;
   }
+  void set_rate(Time now, double per_second, double burst) {
+    refill(now);
+    rate_ = per_second;
+    burst_ = std::max(1.0, burst);
+    tokens_ = std::min(tokens_, burst_);
+  }
+  double rate() const { return rate_; }
   void drain(Time now) {
     refill(now);
     tokens_ = std::min(tokens_, 0.0);
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -21,7 +21,7 @@
 std::vector<std::string> choose_short_part(std::vector<PartCandidate> machines, double share) {
   const auto wanted = static_cast<std::size_t>(std::ceil(share * static_cast<double>(machines.size())));
   std::stable_sort(machines.begin(), machines.end(), [](const PartCandidate& a, const PartCandidate& b) {
-    return std::tuple(a.has_long, !a.in_part, !a.spot) < std::tuple(b.has_long, !b.in_part, !b.spot);
+    return std::tuple(a.has_long, !a.spot, !a.in_part) < std::tuple(b.has_long, !b.spot, !b.in_part);
   });
   std::vector<std::string> out;
   for (const auto& m : machines)
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -20,7 +20,9 @@
 /// Machines of the short part are never chosen.
 std::optional<std::size_t> choose(const std::vector<Candidate>& candidates, wire::Seconds indifference);
 
-/// The short part: `share` of the machines, rounded up, kept as they are where possible, none with long tasks.
+/// The short part: `share` of the machines, rounded up, none with long tasks, kept as they are where possible. Spot
+/// machines first: services may not use them, and an ordinary one that came into the part while there was no other
+/// would be lost to them for as long as it runs.
 struct PartCandidate {
   std::string machine;
   bool has_long = false;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,5 +1,7 @@
 #include "store/client.hpp"
 
+#include <algorithm>
+
 namespace limemast::store {
 namespace {
 using namespace std::chrono_literals;
@@ -9,10 +11,25 @@
 }  // namespace
 
 Client::Client(net::Runtime& runtime, const wire::Settings& s)
-    : runtime_(runtime),
-      endpoint_(s.state),
-      requests_(s.state_rps * kHeadroom / s.size, s.state_rps * kHeadroom / s.size),
-      writes_(s.state_write_rps * kHeadroom / s.size, s.state_write_rps * kHeadroom / s.size) {}
+    : runtime_(runtime), settings_(s), endpoint_(s.state), requests_(1, 1), writes_(1, 1) {
+  share_among(s.size);
+}
+
+void Client::share_among(std::size_t controllers) {
+  const auto part = kHeadroom / static_cast<double>(std::clamp<std::size_t>(controllers, 1, settings_.size));
+  requests_.set_rate(runtime_.now(), settings_.state_rps * part, settings_.state_rps * part);
+  writes_.set_rate(runtime_.now(), settings_.state_write_rps * part, settings_.state_write_rps * part);
+}
+
+net::Duration Client::backlog() const {
+  double requests = 0;
+  double writes = 0;
+  for (std::size_t p = 0; p <= static_cast<std::size_t>(Priority::User); ++p) {
+    for (const auto& pending : queues_[p]) writes += pending.writes;
+    requests += static_cast<double>(queues_[p].size());
+  }
+  return net::to_duration(wire::Seconds(std::max(requests / requests_.rate(), writes / writes_.rate())));
+}
 
 void Client::call(Priority priority, net::HttpRequest request, net::Duration timeout,
                   std::function<void(net::HttpResult)> done, double writes) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -51,8 +51,10 @@
   /// Any other call; `done` gets the raw answer.
   void call(Priority priority, net::HttpRequest request, net::Duration timeout, std::function<void(net::HttpResult)> done,
             double writes = 0);
-  /// True if users' calls already wait in line: better to turn them away at once.
-  bool crowded() const { return queues_[1].size() > kCrowded; }
+  /// How long a user's write would stand in line here before it is sent.
+  net::Duration backlog() const;
+  /// The controllers that share the limits at present: what one that is down leaves unused is the others'.
+  void share_among(std::size_t controllers);
 
  private:
   struct Pending {
@@ -63,10 +65,10 @@
     net::Time since;
   };
   static constexpr std::size_t kMaxQueue = 2000;
-  static constexpr std::size_t kCrowded = 150;
   void pump();
 
   net::Runtime& runtime_;
+  const wire::Settings& settings_;
   std::string endpoint_;
   net::TokenBucket requests_;
   net::TokenBucket writes_;
