--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -18,6 +18,8 @@
 constexpr double kCallShare = 0.8;   ///< of the cloud's rate; only the leader calls
 constexpr double kBootFactor = 4;    ///< a machine that takes longer than this times its boot time never comes
 constexpr auto kStarved = 4s;        ///< a long job that waits for longer gets machines where it may go
+constexpr auto kLateFor = 10s;         ///< arrays must have lacked machines for this long before dear ones are hired
+constexpr wire::Seconds kLateJobTime{300};  ///< a job that is late already should be over in this time
 constexpr double kSpareShare = 0.06;  ///< ordinary machines beyond what is needed now
 constexpr double kDrainSlack = 0.1;   ///< working machines are drained only beyond this much of the need
 constexpr std::size_t kDrainPart = 50;  ///< and so much of the fleet at a time
@@ -179,6 +181,7 @@
 
 Fleet::Need Fleet::need(std::vector<const wire::JobSpec*>& firm_jobs, std::vector<const wire::JobSpec*>& cheap_jobs) const {
   Need out;
+  const auto wall = runtime_.wall();
   double anywhere = 0;
   double largest = 0;
   std::set<std::string> zones;
@@ -194,6 +197,10 @@
     const double tasks = s.tasks - (job ? job->done_count : 0);
     if (!s.service && s.spot) {
       out.cheap += tasks * s.cpus;
+      // In time it is with fewer: as many CPUs as its work needs until it should be complete.
+      const auto target = jobs::target_of(open, settings_, wall);
+      const auto left = std::max(target ? net::to_seconds(*target - wall) : kLateJobTime, s.estimate);
+      if (left.count() > 0) out.in_time += std::min(tasks, tasks * s.estimate / left) * s.cpus;
       cheap_jobs.push_back(&s);
       continue;
     }
@@ -241,9 +248,21 @@
 }
 
 void Fleet::size() {
+  const auto now = runtime_.now();
   std::vector<const wire::JobSpec*> firm_jobs, cheap_jobs;
-  const auto wanted = need(firm_jobs, cheap_jobs);
+  auto wanted = need(firm_jobs, cheap_jobs);
   auto there = have();
+  // Where the spot machines that are to be had cannot finish the arrays in time, ordinary ones take a part of what is
+  // missing, once that has lasted: they cost several times as much, and a peak is over before they are up.
+  const double late = (wanted.in_time - there.cheap) * settings_.tuning.overflow;
+  if (late <= 0 || !spot_refused_)
+    late_since_ = {};
+  else if (late_since_ == net::Time{})
+    late_since_ = now;
+  if (late_since_ != net::Time{} && now - late_since_ > kLateFor) {
+    for (auto& [zone, cpus] : wanted.firm) cpus += late / static_cast<double>(wanted.firm.size());
+    if (firm_jobs.empty()) firm_jobs = cheap_jobs;
+  }
   double spare = 0;
   double short_of = 0;
   for (const auto& [zone, cpus] : wanted.firm) {
@@ -256,11 +275,8 @@
   }
   // A zone that has no more to give leaves its part to the others.
   if (short_of > spare) hire(false, short_of - spare, firm_jobs);
-  double unmet = wanted.cheap - there.cheap - spare;
-  if (unmet > 0 && !hire(true, unmet, cheap_jobs) && settings_.tuning.overflow > 0) {
-    // No spot machine is to be had anywhere: what waits gets ordinary ones.
-    hire(false, unmet * settings_.tuning.overflow, cheap_jobs);
-  }
+  const double unmet = wanted.cheap - there.cheap - spare;
+  spot_refused_ = unmet > 0 && !hire(true, unmet, cheap_jobs);
   hire_for_starved();
   const auto peak = recent_peak(wanted);
   there = have();
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -37,6 +37,7 @@
   struct Need {
     std::map<std::string, double> firm;  ///< by zone: for work that ordinary machines alone may take
     double cheap = 0;                    ///< for work that spot machines may take
+    double in_time = 0;                  ///< of that, what would finish every job when it should be complete
   };
 
   void fetch_catalog();
@@ -76,6 +77,8 @@
   std::map<std::tuple<std::string, std::string, bool>, net::Time> refused_until_;
   std::map<std::string, net::Time> waiting_since_;
   std::deque<std::pair<net::Time, Need>> recent_;
+  net::Time late_since_{};
+  bool spot_refused_ = false;
   std::set<std::string> to_release_;
   std::set<std::string> to_unregister_;
   struct Errors {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -15,6 +15,7 @@
 constexpr auto kRefusedPause = 500ms;
 constexpr auto kRefusedSame = 5s;
 constexpr auto kFailedOn = 30s;
+constexpr double kNoticeTrust = 0.8;  ///< a machine may be taken before its notice says
 constexpr auto kFailurePause = 250ms;
 constexpr unsigned kMaxDoublings = 7;
 constexpr unsigned kAttemptBits = 24;
@@ -199,7 +200,9 @@
         if (b.settled && r.tick > b.settled_tick) unbind(*job, index, true);
         continue;
       }
+      if (t->runs() && !b.running) b.running_since = runtime_.now();
       b.running = t->runs();
+      if (r.notice && !t->exited()) leave_in_time(job->open.spec, b, *t, r);
       // An exit counts once its delivery is settled: until then the same order may still be on its way.
       if (t->exited() && b.settled) on_exit(*job, index, *t, machine);
     }
@@ -237,6 +240,7 @@
     b.settled_tick = r.tick;
     b.void_from = cluster::mandate_base(job->gate);
     b.running = t.runs();
+    b.running_since = runtime_.now();
     b.since = runtime_.now();
     spdlog::debug("job {} task {} found on {}, generation {}", t.uid, t.index, machine, membership_.generation().number);
     job->bound.emplace(t.index, std::move(b));
@@ -256,11 +260,21 @@
   }
 }
 
-void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb) {
+/// The machine is about to be taken away. A task that cannot end before is stopped now: saved if it can save, begun
+/// anew elsewhere in any case, long before the machine's silence would prove it lost.
+void Book::leave_in_time(const wire::JobSpec& s, Binding& b, const wire::TaskReport& t, const wire::Report& r) {
+  if (s.service || b.leaving || t.phase == wire::TaskPhase::Saving) return;
+  const auto ran = t.runs() ? net::to_seconds(runtime_.now() - b.running_since) : wire::Seconds(0);
+  if (t.runs() && ran + *r.notice * kNoticeTrust > s.estimate) return;
+  b.leaving = true;
+  order(r.machine, t, wire::Verb::Kill, s.checkpoint_every.count() > 0 ? s.save_cost : wire::Seconds(0));
+}
+
+void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb, wire::Seconds wind_down) {
   const auto* view = registry_.find(machine);
   if (!view) return;
   again_.insert(machine);
-  const wire::Order o{verb, t.uid, t.index, t.attempt, wire::Seconds(0)};
+  const wire::Order o{verb, t.uid, t.index, t.attempt, wind_down};
   router_.send(view->host, "order", {{"machine", machine}, {"order", wire::to_json(o)}, {"at", wall_ms()}});
 }
 
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -33,6 +33,8 @@
   std::uint64_t settled_tick = 0;
   std::uint64_t void_from = 0;   ///< deliverer lost: a report with this mandate settles it
   bool running = false;
+  bool leaving = false;          ///< told to stop, as its machine is about to be taken away
+  net::Time running_since{};
   net::Time since{};
   net::Time asked{};
 };
@@ -123,7 +125,8 @@
   void redraw(Job& job, std::size_t count, int stage);
   std::vector<std::string> eligible(const Job& job) const;
   void tell_left(const std::vector<const Job*>& jobs);
-  void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb);
+  void leave_in_time(const wire::JobSpec& s, Binding& b, const wire::TaskReport& t, const wire::Report& r);
+  void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb, wire::Seconds wind_down = wire::Seconds(0));
   wire::json wall_ms() const;
 
   void on_pull(const Tag& from, const wire::json& m);
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -94,24 +94,27 @@
   return out;
 }
 
-Placer::Order Placer::order_of(const Job& job, net::WallTime now) const {
-  const auto& s = job.open.spec;
-  // When the job should be complete: its own deadline, or the nearest of its class's aims that it can still meet.
+std::optional<net::WallTime> target_of(const OpenJob& job, const wire::Settings& settings, net::WallTime now) {
   std::optional<net::WallTime> target;
-  bool missed = false;
   auto consider = [&](wire::Seconds within) {
-    const auto at = job.open.submitted + net::to_duration(within);
-    if (now + net::to_duration(s.estimate) > at)
-      missed = true;
-    else if (!target || at < *target)
-      target = at;
+    const auto at = job.submitted + net::to_duration(within);
+    if (now + net::to_duration(job.spec.estimate) <= at && (!target || at < *target)) target = at;
   };
-  if (s.due) consider(*s.due);
-  for (const auto& o : settings_.objectives)
-    if (!s.due && o.kind == "finished" && o.workload == s.workload) consider(o.within);
+  if (job.spec.due) consider(*job.spec.due);
+  for (const auto& o : settings.objectives)
+    if (!job.spec.due && o.kind == "finished" && o.workload == job.spec.workload) consider(o.within);
+  return target;
+}
+
+Placer::Order Placer::order_of(const Job& job, net::WallTime now) const {
+  const auto& s = job.open.spec;
+  const auto target = target_of(job.open, settings_, now);
+  const bool aimed = s.due || std::any_of(settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& o) {
+                       return o.kind == "finished" && o.workload == s.workload;
+                     });
   // What cannot be in time any more lets those pass that can; in a backlog everybody would be late otherwise.
   const int rank = static_cast<int>(s.rank);
-  return {s.rank >= wire::Rank::Urgent ? -rank : 0, missed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
+  return {s.rank >= wire::Rank::Urgent ? -rank : 0, aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
 void Placer::place_gang(const Job& job, Slots& slots) {
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -3,6 +3,9 @@
 #include "sched/placement.hpp"
 
 namespace limemast::jobs {
+/// When the job should be complete: its own deadline, or the nearest of its class's aims that it can still meet.
+std::optional<net::WallTime> target_of(const OpenJob& job, const wire::Settings& settings, net::WallTime now);
+
 /// The leader's part of Eagle: places long tasks and services, keeps the short part, sends the long-task map.
 class Placer {
  public:
--- a/src/wire/settings.hpp
+++ b/src/wire/settings.hpp
@@ -30,7 +30,7 @@
   Seconds map_interval{2};           ///< how often the leader sends its map of long tasks
   Seconds progress_interval{5};      ///< how often an owner records its progress
   Seconds idle_return{20};           ///< a machine idle for this long is returned
-  double overflow = 0;                 ///< share of the arrays' unmet need for which ordinary machines are hired
+  double overflow = 1;               ///< share of what arrays lack to be in time for which ordinary machines are hired
 };
 
 struct Settings {
