Gangs run: one attempt for all tasks of a gang

A gang now starts under one attempt, and only when nothing of an earlier one is left; refusals are kept by task, not by attempt alone.

--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -280,6 +280,8 @@
 
 void Book::on_exit(Job& job, std::uint32_t index, const wire::TaskReport& t, const std::string& machine) {
   const bool finished = t.cause == wire::Cause::Done && !job.open.spec.service;
+  spdlog::debug("job {} task {} exited on {}: {}, generation {}", job.open.spec.uid, index, machine, wire::name_of(t.cause),
+                membership_.generation().number);
   unbind(job, index, !finished);
   if (finished) {
     mark_done(job, index);
@@ -358,7 +360,10 @@
   b.machine = view.report.machine;
   b.zone = view.report.zone;
   b.tenure = view.report.tenure;
-  b.attempt = membership_.generation().number << kAttemptBits | ++attempts_;
+  // The tasks of a gang know each other by the attempt: with one of its own each would wait for the others in vain.
+  const bool joins = s.gang && !job.bound.empty();
+  b.attempt = joins ? job.gang_attempt : membership_.generation().number << kAttemptBits | ++attempts_;
+  if (s.gang) job.gang_attempt = b.attempt;
   b.deliverer = view.host;
   b.since = b.asked = runtime_.now();
   spdlog::debug("{} job {} task {} handed to {} by {} gate {}, generation {}", membership_.self(), s.uid, index, b.machine, b.deliverer, job.gate, membership_.generation().number);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -45,6 +45,7 @@
   TaskSet recorded;              ///< done tasks that the state service knows of
   std::unordered_map<std::uint32_t, Binding> bound;
   std::deque<std::uint32_t> returned;
+  std::uint64_t gang_attempt = 0;  ///< of the tasks of a gang that are handed out now
   std::uint32_t cursor = 0;      ///< tasks from here on were never handed out
   std::uint32_t done_count = 0;
   std::map<std::string, std::uint32_t> zones;
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -120,7 +120,8 @@
 void Placer::place_gang(const Job& job, Slots& slots) {
   // All of them or none: a gang that holds machines while it waits for its last task wastes them. One zone is tried
   // after the other if the gang must stay in one.
-  if (!book_.may_use_for_all(job)) return;
+  // What is left of an earlier attempt ends by itself before the next one begins.
+  if (!job.bound.empty() || !book_.may_use_for_all(job)) return;
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
   const auto all = fitting(job, slots);
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -481,9 +481,9 @@
   const auto* job = jobs_.find(d.order.uid);
   const bool good = it != hosted_.end() && view && view->host == membership_.self() && usable(*view) &&
                     view->report.tenure == d.tenure && !(job && job->ended) && fresh(m) &&
-                    !refused_.contains({d.order.uid, d.order.attempt}) && has_room(it->second);
+                    !refused_.contains({d.order.uid, d.order.index, d.order.attempt}) && has_room(it->second);
   if (!good) {
-    refused_[{d.order.uid, d.order.attempt}] = runtime_.now();
+    refused_[{d.order.uid, d.order.index, d.order.attempt}] = runtime_.now();
     tell_settled(machine, d, false);
     return;
   }
@@ -554,7 +554,7 @@
   const bool present = view && view->report.tenure == m.at("tenure").get<std::uint64_t>() &&
                        view->report.find(d.order.uid, d.order.index, d.order.attempt);
   // The order may still be on its way to us: once we have said that it never came, it must not be carried out.
-  if (!present) refused_[{d.order.uid, d.order.attempt}] = runtime_.now();
+  if (!present) refused_[{d.order.uid, d.order.index, d.order.attempt}] = runtime_.now();
   tell_settled(machine, d, present);
 }
 
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -104,7 +104,7 @@
   cluster::JobIndex& jobs_;
   Registry& registry_;
   Seen seen_;
-  std::map<std::string, Hosted> hosted_;
+  std::unordered_map<std::string, Hosted> hosted_;
   std::unordered_map<std::string, std::set<std::string>> probed_;  ///< job -> machines here that hold a probe of it
   std::set<std::string> to_register_;
   bool registering_ = false;
@@ -115,6 +115,6 @@
   std::map<cluster::Tag, net::Time> beats_;  ///< when each other controller last said whom it hears
   std::map<std::string, net::Time> looked_into_;  ///< jobs unknown here, and when the state service was asked
   /// Attempts that we called absent: should their order come after all, it is refused.
-  std::map<std::pair<std::string, std::uint64_t>, net::Time> refused_;
+  std::map<std::tuple<std::string, std::uint32_t, std::uint64_t>, net::Time> refused_;
 };
 }  // namespace limemast::machines
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -67,7 +67,7 @@
   /// Takes a report if it is newer than what is known; false if it is old or its machine is gone.
   bool update(const wire::Report& report, const cluster::Tag& host, net::Time now);
   const View* find(const std::string& machine) const;
-  const std::map<std::string, View>& views() const { return views_; }
+  const std::unordered_map<std::string, View>& views() const { return views_; }
 
   /// Takes one record of machines as it stands now; the machines that no record names any more are returned.
   std::vector<std::string> set_record(const std::string& record, std::set<std::string> machines);
@@ -110,13 +110,13 @@
   void appraise(View& view) const;
   void count_running(const wire::Report& report, int by);
   const cluster::JobIndex& jobs_;
-  std::map<std::string, View> views_;
+  std::unordered_map<std::string, View> views_;
   std::map<std::string, std::set<std::string>> records_;
   std::map<std::string, unsigned> registered_;  ///< and in how many records
   std::set<std::string> gone_;
   std::set<std::string> closed_;
   std::map<std::string, wire::MachineType> types_;
-  std::map<std::string, std::set<std::string>> images_;
+  std::unordered_map<std::string, std::set<std::string>> images_;
   std::unordered_map<std::string, std::uint32_t> running_;
   LongMap long_map_;
   net::Time linked_since_{};
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -46,6 +46,8 @@
 }
 }  // namespace
 
+const char* name_of(Cause cause) { return name_of(kCauses, cause); }
+
 const TaskReport* Report::find(const std::string& uid, std::uint32_t index, std::uint64_t attempt) const {
   auto it = std::find_if(tasks.begin(), tasks.end(), [&](const TaskReport& t) {
     return t.attempt == attempt && t.index == index && t.uid == uid;
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -9,6 +9,8 @@
 enum class TaskPhase { Fetching, Waiting, Running, Saving, Exited };
 enum class Cause { None, Done, Halted, Error, Full, InUse, NoSuch, Peers, Alone };
 
+const char* name_of(Cause cause);
+
 struct TaskReport {
   std::string uid;
   std::uint32_t index = 0;
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "standins/cluster.hpp"
@@ -47,6 +48,28 @@
 // Seeds that once failed: a job left over (56).
 INSTANTIATE_TEST_SUITE_P(Found, RandomDay, testing::Values<std::uint64_t>(56));
 
+// Each task of a gang had an attempt of its own, so that none ever met the others.
+TEST(Gang, RunsTogether) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  World world(1);
+  Cluster cluster(world, settings_for_tests(), {});
+  cluster.stop_arrivals();
+  auto spec = cluster.random_job();
+  spec.service = spec.spread = false;
+  spec.gang = spec.one_zone = true;
+  spec.tasks = 3;
+  spec.cpus = 2;
+  spec.zone.reset();
+  spec.types.reset();
+  spec.estimate = wire::Seconds(5);
+  cluster.run(5s);
+  cluster.submit(spec);
+  cluster.run(120s);
+  EXPECT_EQ(broken(cluster.rules()), "");
+  const auto left = cluster.unfinished();
+  EXPECT_EQ(std::count(left.begin(), left.end(), spec.uid), 0);
+}
+
 /// The checks themselves: each planted violation must be caught, and a good day must not be.
 class PlantedViolation : public testing::Test {
  protected:
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -13,6 +13,7 @@
 const Kind& kind(const std::string& name) { return name == kKinds[0].name ? kKinds[0] : kKinds[1]; }
 constexpr std::size_t kPerPool = 4;  ///< machines to be had of each type, zone and kind
 constexpr double kListLag = 3;
+constexpr auto kGangWait = 20s;
 }  // namespace
 
 wire::Settings settings_for_tests() {
@@ -361,21 +362,45 @@
     if (it == w.tasks.end() || it->phase != wire::TaskPhase::Fetching) return;
     const auto& job = jobs_.at(it->uid);
     w.images.insert(job.spec.image);
-    it->phase = wire::TaskPhase::Running;
-    rules_.started(wire::task_name(it->uid, it->index), w.name, w.type, w.zone, w.spot);
+    if (!job.spec.gang) return start_task(w, *it);
+    // A gang waits until all its tasks are there with the same attempt.
+    it->phase = wire::TaskPhase::Waiting;
     report_soon(w);
-    const bool fails = w.sick || job.always_fails;
-    if (job.spec.service && !fails) return;
-    const auto time = seconds(fails ? 0.3 : job.run_s * world_.uniform(0.7, 1.4));
-    world_.at(time, [this, name = w.name, serial, fails] {
-      when_awake(name, [this, serial, fails](Worker& w) {
+    std::vector<std::pair<Worker*, Task*>> gang;
+    for (auto& [name, other] : workers_)
+      for (auto& t : other.tasks)
+        if (t.uid == it->uid && t.attempt == it->attempt && t.phase == wire::TaskPhase::Waiting) gang.emplace_back(&other, &t);
+    if (gang.size() == job.spec.tasks) {
+      for (auto& [where, t] : gang) start_task(*where, *t);
+      return;
+    }
+    world_.at(kGangWait, [this, name = w.name, serial] {
+      when_awake(name, [this, serial](Worker& w) {
         auto t = std::find_if(w.tasks.begin(), w.tasks.end(), [&](auto& x) { return x.serial == serial; });
-        if (t != w.tasks.end() && t->phase == wire::TaskPhase::Running) end_task(w, *t, fails ? wire::Cause::Error : wire::Cause::Done);
+        if (t != w.tasks.end() && t->phase == wire::TaskPhase::Waiting) end_task(w, *t, wire::Cause::Alone);
       });
     });
   });
 }
 
+void Cluster::start_task(Worker& w, Task& task) {
+  auto* it = &task;
+  const auto serial = task.serial;
+  const auto& job = jobs_.at(it->uid);
+  it->phase = wire::TaskPhase::Running;
+  rules_.started(wire::task_name(it->uid, it->index), w.name, w.type, w.zone, w.spot);
+  report_soon(w);
+  const bool fails = w.sick || job.always_fails;
+  if (job.spec.service && !fails) return;
+  const auto time = seconds(fails ? 0.3 : job.run_s * world_.uniform(0.7, 1.4));
+  world_.at(time, [this, name = w.name, serial, fails] {
+    when_awake(name, [this, serial, fails](Worker& w) {
+      auto t = std::find_if(w.tasks.begin(), w.tasks.end(), [&](auto& x) { return x.serial == serial; });
+      if (t != w.tasks.end() && t->phase == wire::TaskPhase::Running) end_task(w, *t, fails ? wire::Cause::Error : wire::Cause::Done);
+    });
+  });
+}
+
 void Cluster::execute(Worker& w, const json& list) {
   for (const auto& entry : list) {
     const auto o = *wire::parse_order(entry);
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -104,6 +104,7 @@
   void check_lease(Worker& w);
   void when_awake(const std::string& name, std::function<void(Worker&)> act);
   void end_task(Worker& w, Task& t, wire::Cause cause);
+  void start_task(Worker& w, Task& t);
   void image_ready(const std::string& name, std::uint64_t serial);
   void orders(const std::string& name, const net::HttpRequest& request, const StateService::Answer& answer);
   double free_cpus(const Worker& w) const;
