After a change of leader services wait for ordinary machines only

A job that may not use spot machines never had a task on one, so only ordinary machines must have been read for it. Records name each machine's kind.

--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -493,13 +493,13 @@
   const auto waiting = std::partition(names.begin(), names.end(), [&](const auto& name) { return busy(name); });
   const auto priority = waiting == names.begin() ? store::Priority::Background : store::Priority::User;
   const auto limit = std::min<std::size_t>(settings_.txn_ops, kMaxUnregister);
-  std::map<std::string, std::set<std::string>> records;
+  std::map<std::string, std::map<std::string, bool>> records;
   for (const auto& name : names) {
     if (records.size() >= limit) break;
     for (auto& [record, machines] : registry_.records_of(name)) records.try_emplace(record, std::move(machines));
   }
   for (auto& [record, machines] : records)
-    std::erase_if(machines, [&](const auto& name) { return to_unregister_.contains(name); });
+    std::erase_if(machines, [&](const auto& m) { return to_unregister_.contains(m.first); });
   auto when = membership_.fences();
   std::vector<store::Write> writes;
   for (const auto& [record, machines] : records) {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -86,15 +86,24 @@
     for (const auto& [name, view] : registry_.views()) on_view(name);
 }
 
-bool Book::all_known_since(std::uint64_t generation) const {
+bool Book::all_known_since(std::uint64_t generation, bool ordinary) const {
   if (!least_read_) {
-    least_read_ = std::numeric_limits<std::uint64_t>::max();
-    for (const auto& [name, records] : registry_.all_registered()) {
+    constexpr auto kNone = std::numeric_limits<std::uint64_t>::max();
+    least_read_ = LeastRead{kNone, kNone};
+    for (const auto& [name, known] : registry_.all_registered()) {
       auto it = read_.find(name);
-      least_read_ = std::min(*least_read_, it == read_.end() ? 0 : it->second);
+      const auto mandate = it == read_.end() ? 0 : it->second;
+      least_read_->all = std::min(least_read_->all, mandate);
+      if (!known.spot) least_read_->ordinary = std::min(least_read_->ordinary, mandate);
     }
   }
-  return *least_read_ >= cluster::mandate_base(generation);
+  return (ordinary ? least_read_->ordinary : least_read_->all) >= cluster::mandate_base(generation);
+}
+
+bool Book::gate_open(const Job& job) const {
+  // A job that may not use spot machines has never had a task on one: those that a wave took away, and whose silence
+  // proves nothing yet, must not hold up services after a change of leader.
+  return job.gate == 0 || all_known_since(job.gate, !job.open.spec.spot);
 }
 
 bool Book::holds(const std::string& machine) const {
@@ -325,7 +334,7 @@
 
 bool Book::may_hand_out(const Job& job) const {
   return membership_.entitled() && job.alive() && job.progress_known && runtime_.now() >= job.not_before &&
-         (job.gate == 0 || all_known_since(job.gate));
+         gate_open(job);
 }
 
 bool Book::may_place(const Job& job, const View& view, bool budget) {
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -106,8 +106,11 @@
 
  private:
   Job* find(const std::string& uid);
+  /// No task of it can be where we have not looked yet.
+  bool gate_open(const Job& job) const;
   /// True once every registered machine has shown a mandate of `generation` and all on it is in this book.
-  bool all_known_since(std::uint64_t generation) const;
+  /// `ordinary`: every one that is not a spot machine.
+  bool all_known_since(std::uint64_t generation, bool ordinary = false) const;
   void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
   void unbind(Job& job, std::uint32_t index, bool todo);
   std::optional<std::uint32_t> next_task(Job& job);
@@ -152,7 +155,11 @@
   std::unordered_map<std::string, Held> on_machine_;
   std::unordered_map<std::string, std::uint64_t> read_;  ///< machine -> mandate of the newest report taken over
   std::set<std::string> again_;  ///< machines whose report must be read once more though nothing new may come
-  mutable std::optional<std::uint64_t> least_read_;  ///< of all registered machines; empty: to be found anew
+  struct LeastRead {
+    std::uint64_t ordinary = 0;
+    std::uint64_t all = 0;
+  };
+  mutable std::optional<LeastRead> least_read_;  ///< of the registered machines; empty: to be found anew
   std::uint64_t changes_ = 0;
   std::uint64_t arrivals_ = 0;
   struct Refusal {
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -317,10 +317,10 @@
   if (registering_ || !membership_.entitled()) return;
   // Before its first command a machine is written down, in this generation: a later leader that reads the records
   // misses none that may run something. One record takes many, as the state service counts changes.
-  json names = json::array();
+  json names = json::object();
   while (!to_register_.empty() && names.size() < kRecordMachines) {
     auto name = to_register_.extract(to_register_.begin()).value();
-    if (!registry_.registered(name) && ours(name) && !registry_.gone(name)) names.push_back(std::move(name));
+    if (!registry_.registered(name) && ours(name) && !registry_.gone(name)) names[name] = registry_.find(name)->report.spot;
   }
   if (names.empty()) return;
   registering_ = true;
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -56,20 +56,22 @@
   if (auto it = views_.find(machine); it != views_.end()) it->second.heard = now;
 }
 
-std::vector<std::string> Registry::set_record(const std::string& record, std::set<std::string> machines) {
+std::vector<std::string> Registry::set_record(const std::string& record, std::map<std::string, bool> machines) {
   auto& stands = records_[record];
   const auto before = std::exchange(stands, std::move(machines));
   const auto& after = stands;
-  for (const auto& name : after) {
+  for (const auto& [name, spot] : after) {
     if (before.contains(name)) continue;
-    ++registered_[name];
+    auto& known = registered_[name];
+    ++known.records;
+    known.spot = spot;
     if (auto it = views_.find(name); it != views_.end()) it->second.registered = true;
   }
   std::vector<std::string> out;
-  for (const auto& name : before) {
+  for (const auto& [name, spot] : before) {
     if (after.contains(name)) continue;
     auto it = registered_.find(name);
-    if (it == registered_.end() || --it->second > 0) continue;
+    if (it == registered_.end() || --it->second.records > 0) continue;
     registered_.erase(it);
     out.push_back(name);
   }
@@ -77,8 +79,8 @@
   return out;
 }
 
-std::map<std::string, std::set<std::string>> Registry::records_of(const std::string& machine) const {
-  std::map<std::string, std::set<std::string>> out;
+std::map<std::string, std::map<std::string, bool>> Registry::records_of(const std::string& machine) const {
+  std::map<std::string, std::map<std::string, bool>> out;
   for (const auto& [record, machines] : records_)
     if (machines.contains(machine)) out.emplace(record, machines);
   return out;
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -70,14 +70,19 @@
   const std::unordered_map<std::string, View>& views() const { return views_; }
 
   /// Takes one record of machines as it stands now; the machines that no record names any more are returned.
-  std::vector<std::string> set_record(const std::string& record, std::set<std::string> machines);
+  /// Each with whether it is a spot machine.
+  std::vector<std::string> set_record(const std::string& record, std::map<std::string, bool> machines);
   /// The records that name this machine, with all that they name.
-  std::map<std::string, std::set<std::string>> records_of(const std::string& machine) const;
+  std::map<std::string, std::map<std::string, bool>> records_of(const std::string& machine) const;
   /// The machine was given back: it and all on it are gone for good, its name is never used again.
   void remove(const std::string& machine);
   bool registered(const std::string& machine) const { return registered_.contains(machine); }
   bool gone(const std::string& machine) const { return gone_.contains(machine); }
-  const std::map<std::string, unsigned>& all_registered() const { return registered_; }
+  struct Registered {
+    unsigned records = 0;  ///< that name it
+    bool spot = false;
+  };
+  const std::map<std::string, Registered>& all_registered() const { return registered_; }
   void heard(const std::string& machine, net::Time now);
   /// Since when every other controller has been heard without a gap: what one of them hears is not known here
   /// before, so the silence of a machine says nothing for that time.
@@ -111,8 +116,8 @@
   void count_running(const wire::Report& report, int by);
   const cluster::JobIndex& jobs_;
   std::unordered_map<std::string, View> views_;
-  std::map<std::string, std::set<std::string>> records_;
-  std::map<std::string, unsigned> registered_;  ///< and in how many records
+  std::map<std::string, std::map<std::string, bool>> records_;
+  std::map<std::string, Registered> registered_;
   std::set<std::string> gone_;
   std::set<std::string> closed_;
   std::map<std::string, wire::MachineType> types_;
--- a/tests/machines/registry_test.cpp
+++ b/tests/machines/registry_test.cpp
@@ -97,12 +97,14 @@
 
 // A machine heard by two controllers in turn may be written down twice: it is gone when no record names it any more.
 TEST_F(RegistryTest, AMachineLeavesWithItsLastRecord) {
-  EXPECT_TRUE(registry_.set_record("w/machine/a", {"m1", "m2"}).empty());
-  EXPECT_TRUE(registry_.set_record("w/machine/b", {"m2", "m3"}).empty());
+  EXPECT_TRUE(registry_.set_record("w/machine/a", {{"m1", false}, {"m2", true}}).empty());
+  EXPECT_TRUE(registry_.set_record("w/machine/b", {{"m2", true}, {"m3", false}}).empty());
   EXPECT_EQ(registry_.set_record("w/machine/a", {}), std::vector<std::string>{"m1"});
-  EXPECT_TRUE(registry_.registered("m2"));
+  ASSERT_TRUE(registry_.registered("m2"));
+  EXPECT_TRUE(registry_.all_registered().at("m2").spot);
+  EXPECT_FALSE(registry_.all_registered().at("m3").spot);
   EXPECT_EQ(registry_.records_of("m2").size(), 1u);
-  EXPECT_EQ(registry_.set_record("w/machine/b", {"m3"}), std::vector<std::string>{"m2"});
+  EXPECT_EQ(registry_.set_record("w/machine/b", {{"m3", false}}), std::vector<std::string>{"m2"});
   EXPECT_FALSE(registry_.registered("m2"));
   EXPECT_TRUE(registry_.registered("m3"));
 }
