Guests give way to guarantees and cost no dear machines; a leader that stood still judges nobody

A leader frozen for longer than a lease within its grant gave the whole fleet back on waking (simulator with a new trouble, standing still within a callback): silence is judged only from waking on.

--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -197,11 +197,14 @@
     const double tasks = s.tasks - (job ? job->done_count : 0);
     if (!s.service && s.spot) {
       out.cheap += tasks * s.cpus;
+      cheap_jobs.push_back(&s);
+      // A guest's work, or such as nobody waits for, is worth no dear machine: 2,400 tasks of a reindexing once had
+      // two hundred ordinary ones hired for ten minutes.
+      if (settings_.guest(s.team) || (!s.due && !settings_.expects_finish(s.workload))) continue;
       // In time it is with fewer: as many CPUs as its work needs until it should be complete.
       const auto target = jobs::target_of(open, settings_, wall);
       const auto left = std::max(target ? net::to_seconds(*target - wall) : kLateJobTime, s.estimate);
       if (left.count() > 0) out.in_time += std::min(tasks, tasks * s.estimate / left) * s.cpus;
-      cheap_jobs.push_back(&s);
       continue;
     }
     firm_jobs.push_back(&s);
@@ -515,6 +518,7 @@
 }
 
 void Fleet::tick() {
+  registry_.awake(runtime_.now());
   if (membership_.leads() && leading_) {
     const auto now = runtime_.now();
     fetch_catalog();
--- a/src/cluster/job_index.hpp
+++ b/src/cluster/job_index.hpp
@@ -13,6 +13,7 @@
   bool is_long = false;
   net::WallTime submitted{};
   std::uint64_t stamp = 0;
+  std::optional<std::uint32_t> left;  ///< tasks not handed out, as its owner last said
   bool spec_known = true;
   bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
   net::Time ended_at{};
@@ -59,6 +60,9 @@
     it->second.ended = true;
     it->second.ended_at = now;
   }
+  void set_left(const std::string& uid, std::uint32_t left) {
+    if (auto it = jobs_.find(uid); it != jobs_.end()) it->second.left = left;
+  }
   /// The state service itself says that this job, of which a machine still runs a task, has no open record.
   void ended_before_our_time(const std::string& uid, net::Time now) {
     if (jobs_.contains(uid)) return;
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -88,6 +88,8 @@
   bool may_place(const Job& job, const View& view, bool budget = true);
   /// `evict`: tasks of lower rank there that are ended to make room.
   bool place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict = {});
+  /// Tells whoever hears the machine to end this task; it saves first if it can and `wind_down` allows it.
+  void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb, wire::Seconds wind_down = wire::Seconds(0));
   /// May all tasks of a gang that are not handed out yet be, within the team's limit.
   bool may_use_for_all(const Job& job);
   /// The machine's host knew better than we whether there was room.
@@ -130,7 +132,6 @@
   std::vector<std::string> eligible(const Job& job) const;
   void tell_left(const std::vector<const Job*>& jobs);
   void leave_in_time(const wire::JobSpec& s, Binding& b, const wire::TaskReport& t, const wire::Report& r);
-  void order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb, wire::Seconds wind_down = wire::Seconds(0));
   wire::json wall_ms() const;
 
   void on_pull(const Tag& from, const wire::json& m);
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace limemast::jobs {
 namespace {
@@ -66,6 +67,8 @@
   std::set<Shape> too_big;  // what one task found no room for, the next of its like need not look for
   for (const auto& [order, job] : waiting) {
     const auto& s = job->open.spec;
+    // A machine with a long task is lost to short jobs: guests get none while short jobs of others wait for room.
+    if (settings_.guest(s.team) && short_tasks_lack() > 0) continue;
     if (s.gang) {
       place_gang(*job, free);
       continue;
@@ -77,7 +80,7 @@
       while (job->todo() > 0 && place_one(*job, fit)) {
       }
     }
-    if (s.rank < wire::Rank::Urgent || evict_after_.contains(s.uid)) continue;
+    if ((s.rank < wire::Rank::Urgent && !within_guarantee(s)) || evict_after_.contains(s.uid)) continue;
     while (job->todo() > 0)
       if (!evict_for(*job, free)) {
         evict_after_[s.uid] = now + kEvictAgain;
@@ -88,9 +91,12 @@
 
 std::vector<Placer::Slot*> Placer::fitting(const Job& job, Slots& slots) {
   const auto need = machines::Room::of(job.open.spec);
+  // A long task keeps its machine from being given back: a guest's does so only to those that cost little, or are kept
+  // by others anyhow.
+  const bool guest = job.open.spec.spot && settings_.guest(job.open.spec.team);
   std::vector<Slot*> out;
   for (auto& slot : slots)
-    if (slot.free.fits(need) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
+    if (slot.free.fits(need) && (!guest || slot.view->report.spot || registry_.holds_long(*slot.view)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
   return out;
 }
 
@@ -109,12 +115,10 @@
 Placer::Order Placer::order_of(const Job& job, net::WallTime now) const {
   const auto& s = job.open.spec;
   const auto target = target_of(job.open, settings_, now);
-  const bool aimed = s.due || std::any_of(settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& o) {
-                       return o.kind == "finished" && o.workload == s.workload;
-                     });
+  const bool aimed = s.due || settings_.expects_finish(s.workload);
   // What cannot be in time any more lets those pass that can; in a backlog everybody would be late otherwise.
   const int rank = static_cast<int>(s.rank);
-  return {s.rank >= wire::Rank::Urgent ? -rank : 0, aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
+  return {s.rank >= wire::Rank::Urgent ? -rank : 0, settings_.guest(s.team), aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
 void Placer::place_gang(const Job& job, Slots& slots) {
@@ -185,7 +189,7 @@
 }
 
 bool Placer::evict_for(const Job& job, Slots& slots) {
-  // Work of lower rank gives way. The machine where the task starts soonest is taken, among those the one that needs
+  // Work of lower rank gives way, and guests' work. The machine where the task starts soonest is taken, among those the one that needs
   // the fewest tasks ended.
   const auto& s = job.open.spec;
   const auto need = machines::Room::of(s);
@@ -198,7 +202,7 @@
     std::vector<std::pair<wire::Rank, const wire::TaskReport*>> lower;
     for (const auto& t : slot.view->report.tasks) {
       const auto* other = t.exited() ? nullptr : index_.find(t.uid);
-      if (other && !other->ended && other->spec.rank < s.rank) lower.emplace_back(other->spec.rank, &t);
+      if (other && !other->ended && gives_way(other->spec, s)) lower.emplace_back(other->spec.rank, &t);
     }
     std::stable_sort(lower.begin(), lower.end(), [](auto& a, auto& b) { return a.first < b.first; });
     auto free = slot.free;
@@ -222,8 +226,70 @@
   return true;
 }
 
+/// What a team without a guarantee runs is always beyond its guarantee, and may be stopped to give another team its own.
+bool Placer::gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) const {
+  if (job.rank >= wire::Rank::Urgent && victim.rank < job.rank) return true;
+  return settings_.guest(victim.team) && !settings_.guest(job.team);
+}
+
+bool Placer::within_guarantee(const wire::JobSpec& s) const {
+  const auto& team = settings_.teams.at(s.team);
+  if (team.cpus <= 0 && team.accelerators <= 0) return false;
+  machines::Room used = machines::Room::of(s);
+  for (const auto& [uid, open] : index_.all()) {
+    if (open.ended || open.spec.team != s.team) continue;
+    const double n = registry_.running(uid);
+    used.cpus += n * open.spec.cpus;
+    used.accelerators += n * open.spec.accelerators;
+  }
+  return used.cpus <= team.cpus + machines::Room::kSlack && used.accelerators <= team.accelerators + machines::Room::kSlack;
+}
+
+/// CPUs that waiting short tasks ask for beyond what is free on machines without long tasks; guests' tasks wait.
+double Placer::short_tasks_lack() const {
+  double lack = 0;
+  for (const auto& [uid, open] : index_.all())
+    if (!open.ended && !open.is_long && !settings_.guest(open.spec.team)) lack += open.left.value_or(open.spec.tasks) * open.spec.cpus;
+  if (lack <= 0) return 0;
+  for (const auto& [name, view] : registry_.views())
+    if (view.takes_work() && !registry_.holds_long(view) && !book_.has_long(name)) lack -= registry_.reported_room(view).cpus;
+  return lack;
+}
+
+/// Short jobs shun machines with long tasks, and guests' long tasks may have come to most of them while nobody else
+/// needed them: as many as the short jobs lack are cleared again, those first where the fewest tasks end.
+void Placer::clear_for_short() {
+  auto lack = short_tasks_lack();
+  // A moment's lack passes by itself, as short tasks end all the time.
+  if (std::exchange(short_lacked_, lack > 0) == false || lack <= 0) return;
+  std::vector<std::pair<std::size_t, const View*>> of_guests;
+  for (const auto& [name, view] : registry_.views()) {
+    if (!view.takes_work() || !registry_.holds_long(view)) continue;
+    std::size_t count = 0;
+    const bool clear = std::all_of(view.report.tasks.begin(), view.report.tasks.end(), [&](const auto& t) {
+      const auto* job = t.exited() ? nullptr : index_.find(t.uid);
+      if (!job || !job->is_long) return true;
+      ++count;
+      return settings_.guest(job->spec.team);
+    });
+    if (clear) of_guests.emplace_back(count, &view);
+  }
+  std::sort(of_guests.begin(), of_guests.end(), [](auto& a, auto& b) { return std::tie(a.first, a.second->report.machine) < std::tie(b.first, b.second->report.machine); });
+  for (const auto& [count, view] : of_guests) {
+    if (lack <= 0) break;
+    lack -= registry_.reported_room(*view).cpus;
+    for (const auto& t : view->report.tasks) {
+      const auto* job = t.exited() ? nullptr : index_.find(t.uid);
+      if (!job || !job->is_long) continue;
+      lack -= job->spec.cpus;
+      if (t.phase != wire::TaskPhase::Saving) book_.order(view->report.machine, t, wire::Verb::Kill, job->spec.save_cost);
+    }
+  }
+}
+
 void Placer::send_map() {
   if (!membership_.leads()) return;
+  clear_for_short();
   std::vector<sched::PartCandidate> machines;
   machines::LongMap map;
   map.generation = membership_.generation().number;
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -28,8 +28,8 @@
   using Slots = std::vector<Slot>;
   /// All that decides which machines a task fits on, but for what else of its job runs where.
   using Shape = std::tuple<bool, double, double, double, std::optional<std::string>, std::optional<std::vector<std::string>>>;
-  /// Urgent work first, then what can still be in time, by deadline.
-  using Order = std::tuple<int, bool, net::WallTime, int, net::WallTime, std::string>;
+  /// Urgent work first, then what can still be in time, by deadline; guests' work after all else.
+  using Order = std::tuple<int, bool, bool, net::WallTime, int, net::WallTime, std::string>;
   Order order_of(const Job& job, net::WallTime now) const;
   Slots slots() const;
   std::vector<Slot*> fitting(const Job& job, Slots& slots);
@@ -38,6 +38,10 @@
   wire::Seconds indifference(const std::string& workload) const;
   wire::Seconds delay(const Slot& slot, const wire::JobSpec& s) const;
   bool evict_for(const Job& job, Slots& slots);
+  bool gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) const;
+  bool within_guarantee(const wire::JobSpec& s) const;
+  double short_tasks_lack() const;
+  void clear_for_short();
 
   net::Runtime& runtime_;
   const wire::Settings& settings_;
@@ -50,6 +54,7 @@
   std::uint64_t seen_changes_ = 0;
   std::uint64_t seen_arrivals_ = 0;
   net::Time last_run_{};
+  bool short_lacked_ = false;  ///< when the last map was sent
   std::map<std::string, net::Time> evict_after_;
 };
 }  // namespace limemast::jobs
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -124,6 +124,7 @@
 }
 
 void Host::tick() {
+  registry_.awake(runtime_.now());
   json machines = json::array();
   for (auto& [name, h] : hosted_) {
     if (!std::exchange(h.heard_lately, false) || !ours(name)) continue;
@@ -174,6 +175,7 @@
   for (const auto& entry : m.at("jobs")) {
     const auto& uid = entry.at(0).get_ref<const std::string&>();
     const auto left = entry.at(1).get<std::uint32_t>();
+    jobs_.set_left(uid, left);
     if (left == 0) {
       remove_probes_of(uid);
     } else if (auto it = probed_.find(uid); it != probed_.end()) {
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace limemast::machines {
+namespace {
+using namespace std::chrono_literals;
+constexpr auto kStoodStill = 2500ms;  ///< actors look around once a second or more often
+}  // namespace
+
 bool Registry::update(const wire::Report& report, const cluster::Tag& host, net::Time now) {
   if (gone(report.machine)) return false;
   auto [it, fresh] = views_.try_emplace(report.machine);
@@ -56,6 +61,11 @@
   if (auto it = views_.find(machine); it != views_.end()) it->second.heard = now;
 }
 
+void Registry::awake(net::Time now) {
+  if (last_awake_ != net::Time{} && now - last_awake_ > kStoodStill) linked_since_ = now;
+  last_awake_ = now;
+}
+
 std::vector<std::string> Registry::set_record(const std::string& record, std::map<std::string, bool> machines) {
   auto& stands = records_[record];
   const auto before = std::exchange(stands, std::move(machines));
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -88,6 +88,10 @@
   /// before, so the silence of a machine says nothing for that time.
   net::Time linked_since() const { return linked_since_; }
   void set_linked_since(net::Time since) { linked_since_ = since; }
+  /// To be called by whatever runs every so often, before it judges anybody's silence: a gap between two calls means
+  /// that this process stood still, and what was said meanwhile waits unread. A leader that stood still for a lease
+  /// gave back the whole fleet on waking.
+  void awake(net::Time now);
   /// How many tasks of this job the newest reports show as running.
   std::uint32_t running(const std::string& uid) const;
 
@@ -125,5 +129,6 @@
   std::unordered_map<std::string, std::uint32_t> running_;
   LongMap long_map_;
   net::Time linked_since_{};
+  net::Time last_awake_{};
 };
 }  // namespace limemast::machines
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,8 +44,9 @@
     result_ = {};
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
-    uv_timer_start(&timer_, [](uv_timer_t* t) { static_cast<Connection*>(t->data)->fail(); },
-                   std::chrono::ceil<std::chrono::milliseconds>(timeout).count(), 0);
+    const auto wait = static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
+    deadline_ = uv_now(owner_->loop_) + wait;
+    uv_timer_start(&timer_, [](uv_timer_t* t) { static_cast<Connection*>(t->data)->on_timeout(); }, wait, 0);
     if (connected_) write();
   }
 
@@ -149,6 +150,17 @@
     done(std::move(result));
   }
 
+  void on_timeout() {
+    // Late by this much, the process has stood still: the answer may have been in the socket for long. The loop reads
+    // before a new timer fires, so that a grant renewed in time does not count as unanswered.
+    if (auto late = uv_now(tcp_.loop) - deadline_; late > kStoodStillMs) {
+      deadline_ += late + kReadFirstMs;
+      uv_timer_start(&timer_, timer_.timer_cb, kReadFirstMs, 0);
+      return;
+    }
+    fail();
+  }
+
   void fail() {
     if (closing_) return;
     auto self = shared_from_this();
@@ -160,6 +172,8 @@
   }
 
   static constexpr unsigned kBuffer = 16 * 1024;
+  static constexpr std::uint64_t kStoodStillMs = 500;
+  static constexpr std::uint64_t kReadFirstMs = 20;
   HttpClient* owner_;
   Endpoint to_;
   uv_tcp_t tcp_{};
@@ -173,6 +187,7 @@
   std::function<void(HttpResult)> done_;
   std::shared_ptr<Connection> keep_;
   int handles_ = 0;
+  std::uint64_t deadline_ = 0;
   bool connected_ = false;
   bool closing_ = false;
 };
--- a/src/wire/settings.hpp
+++ b/src/wire/settings.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -57,5 +58,17 @@
   std::uint32_t max_connections = 0;
   Seconds skew{0};
   Tuning tuning;
+
+  /// A team without a guarantee beside teams that have one: it uses what is free and costs nobody anything.
+  bool guest(const std::string& team) const {
+    auto guaranteed = [](const Team& t) { return t.cpus > 0 || t.accelerators > 0; };
+    const auto it = teams.find(team);
+    return it != teams.end() && !guaranteed(it->second) &&
+           std::any_of(teams.begin(), teams.end(), [&](const auto& t) { return guaranteed(t.second); });
+  }
+  /// Users expect this class to be complete within some time.
+  bool expects_finish(const std::string& workload) const {
+    return std::any_of(objectives.begin(), objectives.end(), [&](const Objective& o) { return o.kind == "finished" && o.workload == workload; });
+  }
 };
 }  // namespace limemast::wire
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -70,6 +70,71 @@
   EXPECT_EQ(std::count(left.begin(), left.end(), spec.uid), 0);
 }
 
+wire::JobSpec plain_job(Cluster& cluster, const std::string& team, std::uint32_t tasks, double estimate) {
+  auto spec = cluster.random_job();
+  spec.team = team;
+  spec.service = spec.spread = spec.one_zone = false;
+  spec.rank = wire::Rank::Low;
+  spec.spot = true;
+  spec.tasks = tasks;
+  spec.cpus = 4;
+  spec.zone.reset();
+  spec.types.reset();
+  spec.estimate = wire::Seconds(estimate);
+  return spec;
+}
+
+// A leader that stood still for longer than a lease, yet not past its grant, took all machines for dead on waking and
+// gave them back, with what ran there.
+TEST(Freeze, LeaderGivesNothingBackOnWaking) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    World world(seed);
+    auto settings = settings_for_tests();
+    settings.cancel = wire::Seconds(40);
+    Cluster cluster(world, settings, {});
+    cluster.stop_arrivals();
+    cluster.run(5s);
+    for (int i = 0; i < 4; ++i) {
+      auto spec = plain_job(cluster, "red", 3, 0);
+      spec.service = true;
+      spec.spot = false;
+      spec.rank = wire::Rank::Production;
+      cluster.submit(spec);
+    }
+    cluster.run(40s);
+    const auto starts = cluster.rules().starts();
+    EXPECT_GE(starts, 12u);
+    cluster.freeze(cluster.leader(), 18s);
+    cluster.run(60s);
+    EXPECT_EQ(broken(cluster.rules()), "");
+    EXPECT_EQ(cluster.rules().starts(), starts) << "seed " << seed;
+  }
+}
+
+// Guests' long tasks had all spot machines for minutes: what a team with a guarantee submitted then waited for their end.
+TEST(Guests, GiveWayToAGuarantee) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  for (const double estimate : {80.0, 10.0}) {
+    World world(3);
+    Cluster cluster(world, settings_for_tests(), {});
+    cluster.stop_arrivals();
+    cluster.run(5s);
+    cluster.submit(plain_job(cluster, "blue", 400, 400));
+    cluster.run(60s);
+    EXPECT_GT(cluster.rules().starts(), 50u);
+    std::set<std::string> uids;
+    for (int i = 0; i < 2; ++i) {
+      const auto spec = plain_job(cluster, "red", 5, estimate);
+      uids.insert(spec.uid);
+      cluster.submit(spec);
+    }
+    cluster.run(seconds(2 * estimate + 25));
+    EXPECT_EQ(broken(cluster.rules()), "");
+    for (const auto& uid : cluster.unfinished()) EXPECT_FALSE(uids.contains(uid)) << "estimate " << estimate;
+  }
+}
+
 /// The checks themselves: each planted violation must be caught, and a good day must not be.
 class PlantedViolation : public testing::Test {
  protected:
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -44,46 +44,57 @@
   Time now() const override { return cluster_.world_.now(); }
   net::WallTime wall() const override { return cluster_.world_.wall(); }
   std::mt19937_64& random() override { return random_; }
-  TimerId after(Duration delay, std::function<void()> fire) override { return cluster_.world_.at(delay, guard(std::move(fire))); }
+  TimerId after(Duration delay, std::function<void()> fire) override { return cluster_.world_.at(delay, guard(true, std::move(fire))); }
   void cancel(TimerId id) override { cluster_.world_.cancel(id); }
-  void post(std::function<void()> fire) override { cluster_.world_.at(0s, guard(std::move(fire))); }
+  void post(std::function<void()> fire) override { cluster_.world_.at(0s, guard(false, std::move(fire))); }
 
   void http(const net::Endpoint& to, net::HttpRequest request, Duration timeout, std::function<void(net::HttpResult)> done) override {
     auto once = std::make_shared<std::function<void(net::HttpResult)>>(std::move(done));
-    auto finish = [once, alive = alive_](net::HttpResult r) {
-      if (!*alive || !*once) return;
+    auto finish = [once](net::HttpResult r) {
+      if (!*once) return;
       auto d = std::exchange(*once, nullptr);
       d(std::move(r));
     };
-    cluster_.world_.at(timeout, [finish] { finish({0, true, {}}); });
+    cluster_.world_.at(timeout, guard(true, [finish] { finish({0, true, {}}); }));
     const auto side = to == cluster_.settings_.state ? Side::State : to == cluster_.settings_.cloud ? Side::Cloud : Side::Workers;
     auto& c = cluster_;
     const auto node = node_;
-    auto answer = [&c, node, side, finish](net::HttpResult r) {
-      c.link(node, side, [finish, r = std::move(r)] { finish(r); });
+    auto answer = [this, alive = alive_, &c, node, side, finish](net::HttpResult r) {
+      c.link(node, side, [this, alive, finish, r = std::move(r)] {
+        if (*alive) guard(false, [finish, r] { finish(r); })();
+      });
     };
-    c.link(node, side, [&c, to, request = std::move(request), side, answer] {
-      if (side == Side::State) return c.state_.handle(request, answer);
-      if (side == Side::Cloud) return c.cloud(request, answer);
-      c.orders(to.substr(0, to.find(':')), request, answer);
+    c.leave(node, [&c, node, to, request = std::move(request), side, answer] {
+      c.link(node, side, [&c, to, request, side, answer] {
+        if (side == Side::State) return c.state_.handle(request, answer);
+        if (side == Side::Cloud) return c.cloud(request, answer);
+        c.orders(to.substr(0, to.find(':')), request, answer);
+      });
     });
   }
   void send_peer(const std::string& label, const json& message) override {
     auto& c = cluster_;
     for (std::size_t i = 0; i < c.nodes_.size(); ++i) {
       if (c.nodes_[i].settings.label != label) continue;
-      c.link(node_, Side::Peers, [&c, i, message] {
-        c.link(i, Side::Peers, [&c, i, message] {
-          if (c.nodes_[i].controller) c.nodes_[i].controller->from_peer(message);
+      c.leave(node_, [&c, i, node = node_, message] {
+        c.link(node, Side::Peers, [&c, i, message] {
+          c.link(i, Side::Peers, [&c, i, message] {
+            c.within(i, false, [&c, i, message] {
+              if (c.nodes_[i].controller) c.nodes_[i].controller->from_peer(message);
+            });
+          });
         });
       });
     }
   }
 
  private:
-  std::function<void()> guard(std::function<void()> fire) {
-    return [alive = alive_, fire = std::move(fire)] {
-      if (*alive) fire();
+  std::function<void()> guard(bool timer, std::function<void()> fire) {
+    return [alive = alive_, timer, &c = cluster_, node = node_, fire = std::move(fire)] {
+      if (!*alive) return;
+      c.within(node, timer, [alive, fire] {
+        if (*alive) fire();
+      });
     };
   }
   Cluster& cluster_;
@@ -128,9 +139,38 @@
   world_.at(latency(), std::move(deliver));
 }
 
+void Cluster::freeze(std::size_t node, Duration time) { nodes_[node].freeze_next = time; }
+
+void Cluster::within(std::size_t node, bool timer, std::function<void()> act) {
+  auto& n = nodes_[node];
+  if (n.frozen) return void((timer ? n.late_timers : n.unread).push_back(std::move(act)));
+  if (n.freeze_next > 0s) {
+    n.frozen = true;
+    world_.at(std::exchange(n.freeze_next, 0s), [this, node, start = n.start] {
+      if (nodes_[node].start == start) wake(node);
+    });
+  }
+  act();
+}
+
+void Cluster::wake(std::size_t node) {
+  auto& n = nodes_[node];
+  n.frozen = false;
+  for (auto* queue : {&n.unsent, &n.late_timers, &n.unread})
+    for (auto& act : std::exchange(*queue, {})) act();
+}
+
+void Cluster::leave(std::size_t node, std::function<void()> send) {
+  if (nodes_[node].frozen) return nodes_[node].unsent.push_back(std::move(send));
+  send();
+}
+
 void Cluster::start(std::size_t node) {
   auto& n = nodes_[node];
   ++n.start;
+  n.frozen = false;
+  n.freeze_next = {};
+  for (auto* queue : {&n.unsent, &n.late_timers, &n.unread}) queue->clear();
   n.runtime = std::make_unique<Runtime>(*this, node);
   n.controller = std::make_unique<app::Controller>(*n.runtime, n.settings);
 }
@@ -166,6 +206,12 @@
   world_.at(time, [this] { cloud_down_ = false; });
 }
 
+std::size_t Cluster::leader() const {
+  std::size_t i = 0;
+  while (i + 1 < nodes_.size() && !(nodes_[i].controller && nodes_[i].controller->node().membership().leads())) ++i;
+  return i;
+}
+
 std::size_t Cluster::up_controllers() const {
   return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](auto& n) { return n.controller && n.controller->node().membership().entitled(); }));
 }
@@ -186,10 +232,16 @@
   auto deliver = [this, node, side, request, finish] {
     auto& n = nodes_[node];
     if (!n.controller) return finish({0, false, {}});
-    n.controller->serve(request, [this, node, side, finish](net::HttpResponse r) {
-      auto back = [finish, r] { finish({r.status, true, r.body}); };
-      if (side == Side::Workers) return link(node, side, back);
-      world_.at(latency(), back);
+    within(node, false, [this, node, side, request, finish] {
+      auto& n = nodes_[node];
+      if (!n.controller) return;
+      n.controller->serve(request, [this, node, side, finish](net::HttpResponse r) {
+        leave(node, [this, node, side, finish, r] {
+          auto back = [finish, r] { finish({r.status, true, r.body}); };
+          if (side == Side::Workers) return link(node, side, back);
+          world_.at(latency(), back);
+        });
+      });
     });
   };
   if (side == Side::Workers) return link(node, side, deliver);
@@ -492,7 +544,7 @@
   const auto node = world_.below(nodes_.size());
   const auto time = seconds(world_.uniform(2, 30));
   const bool hold = world_.chance(0.5);
-  switch (world_.below(12)) {
+  switch (world_.below(14)) {
     case 0: return crash(node, seconds(world_.uniform(0.5, 15)));
     case 1:
       for (std::size_t i = 0; i < nodes_.size(); ++i) crash(i, seconds(world_.uniform(1, 6)));
@@ -508,6 +560,8 @@
     case 8: return hang(seconds(world_.uniform(1, 25)));
     case 9: return take_machine(world_.chance(0.5));
     case 10: return make_sick(time);
+    case 11: return freeze(node, seconds(world_.uniform(1, 40)));
+    case 12: return freeze(leader(), seconds(world_.uniform(5, 15)));
     default:  // one after the other
       for (std::size_t i = 0; i < nodes_.size(); ++i) world_.at(seconds(4.0 * static_cast<double>(i)), [this, i] { crash(i, 1s); });
   }
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -28,6 +28,9 @@
   // Troubles.
   void crash(std::size_t node, Duration back_after);
   void cut(std::size_t node, Side side, bool hold, Duration time);
+  /// The process stands still within its next callback, while its clock and its timers run on: what that callback
+  /// sends leaves when it goes on, and then timers fire before anything that came meanwhile is read.
+  void freeze(std::size_t node, Duration time);
   void state_outage(Duration time);
   void cloud_outage(Duration time);
   void hang(Duration time);
@@ -41,6 +44,8 @@
   /// Array jobs that are not over yet, and replicas of services that do not run.
   std::vector<std::string> unfinished() const;
   std::size_t up_controllers() const;
+  /// The controller that leads, as it sees it itself.
+  std::size_t leader() const;
   const app::Node* node(std::size_t i) const { return nodes_[i].controller ? &nodes_[i].controller->node() : nullptr; }
   void ask(std::size_t node, const net::HttpRequest& request, net::Responder respond);
 
@@ -75,6 +80,9 @@
     std::map<Side, std::vector<std::function<void()>>> held;
     bool hold = false;
     std::uint64_t start = 0;
+    Duration freeze_next{};
+    bool frozen = false;
+    std::vector<std::function<void()>> unsent, late_timers, unread;  ///< while it stands still
   };
   struct UserJob {
     wire::JobSpec spec;
@@ -87,6 +95,9 @@
   };
 
   void start(std::size_t node);
+  void within(std::size_t node, bool timer, std::function<void()> act);
+  void wake(std::size_t node);
+  void leave(std::size_t node, std::function<void()> send);
   void link(std::size_t node, Side side, std::function<void()> deliver);
   Duration latency() { return seconds(world_.uniform(0.001, 0.01)); }
   void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout, std::function<void(net::HttpResult)> done);
