Questions cost the state service one look for many; a controller refused alone is not ready

Questions are gathered, asked of the owner in one message, else answered after one look at the changes; reads pass writes that wait for their tokens. /ready says 503 where the state service refuses this controller while another says that it is served (inc-92a9).

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -9,6 +9,7 @@
 constexpr auto kTick = 1s;
 constexpr auto kPlaceEvery = 100ms;
 constexpr auto kEndedKept = 600s;
+constexpr auto kUnserved = 4s;  ///< without a renewed grant: two renewals missed
 const std::string kSubmissions = "/submissions";
 const std::string kAbort = "/abort";
 }  // namespace
@@ -27,7 +28,8 @@
             [this](const std::string& machine) { book_.on_view(machine); }),
       book_(runtime, settings, client_, membership_, router_, index_, registry_),
       placer_(runtime, settings, membership_, router_, index_, registry_, book_),
-      desk_(runtime, settings, client_, membership_, router_, index_, registry_, book_),
+      questions_(runtime, client_, mirror_, membership_, router_, index_, registry_, book_),
+      desk_(runtime, settings, client_, membership_, router_, index_, registry_, book_, questions_),
       fleet_(runtime, settings, client_, mirror_, membership_, index_, registry_, book_) {}
 
 void Node::start() {
@@ -106,7 +108,10 @@
   }
   if (path == "/ready") {
     if (request.method != "GET") return not_allowed("GET");
-    const bool ready = membership_.entitled() && !registry_.types().empty();
+    // Refused by the state service while others are served, this controller can accept nothing: users go to those. In an
+    // outage for all it stays ready, as it takes seconds to count as healthy again.
+    const bool refused = membership_.served_by_state() < runtime_.now() - kUnserved && host_.others_served();
+    const bool ready = membership_.entitled() && !registry_.types().empty() && !refused;
     return respond({ready ? 200 : 503, ready ? "{}" : R"({"error":"not ready"})", 0, {}});
   }
   if (path == kSubmissions) {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -34,6 +34,7 @@
   machines::Host host_;
   jobs::Book book_;
   jobs::Placer placer_;
+  jobs::Questions questions_;
   jobs::FrontDesk desk_;
   cloud::Fleet fleet_;
 };
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -59,6 +59,7 @@
       return;
     }
     grant_ = body["permit"].get<std::uint64_t>();
+    served_ = sent;
     valid_until_ = sent + ttl_ - ttl_ / 1000 - kGrantMargin;
     put_node();
     runtime_.after(kTouchEvery, [this] { touch(); });
@@ -101,7 +102,10 @@
                  if (lost_) return;
                  if (r.status == 404) return lose();
                  const bool good = r.status == 200;
-                 if (good) valid_until_ = std::max(valid_until_, sent + ttl_ - ttl_ / 1000 - kGrantMargin);
+                 if (good) {
+                   served_ = std::max(served_, sent);
+                   valid_until_ = std::max(valid_until_, sent + ttl_ - ttl_ / 1000 - kGrantMargin);
+                 }
                  runtime_.after(good ? net::Duration(kTouchEvery) : net::Duration(kRetry), [this] { touch(); });
                });
 }
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -35,6 +35,8 @@
   const Tag& self() const { return self_; }
   /// May act for the controllers: the grant counts and the generation names us.
   bool entitled() const;
+  /// When the last request that the state service granted was sent.
+  net::Time served_by_state() const { return served_; }
   bool leads() const { return entitled() && generation_.leader == self_; }
   bool member(const Tag& tag) const { return generation_.members.contains(tag); }
   /// The member that runs on the controller `label`, or "".
@@ -67,6 +69,7 @@
   Tag self_;
   Generation generation_;
   std::uint64_t leading_since_ = 0;
+  net::Time served_{};
   bool electing_ = false;
   bool writing_ = false;
   bool lost_ = false;
--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -9,10 +9,8 @@
 namespace {
 using namespace std::chrono_literals;
 using wire::json;
-constexpr std::size_t kFinalsKept = 20'000;
+using Known = Questions::Known;
 constexpr std::size_t kMaxAborts = 500;
-constexpr std::size_t kMaxAsked = 500;
-constexpr auto kOwnerPatience = 400ms;
 constexpr auto kAbortTimeout = 1500ms;
 constexpr auto kOwnAbortTimeout = 4s;
 constexpr unsigned kAcceptTries = 4;
@@ -20,7 +18,6 @@
 constexpr int kRetryAfter = 1;
 constexpr int kLongestRetry = 30;      ///< users wait no longer than this, whatever they are told
 constexpr auto kAcceptPatience = 2s;   ///< a submission that would stand in line for longer is turned away
-constexpr auto kAskPatience = 1s;      ///< so is a poll: its user waits for two seconds
 
 net::HttpResponse status_of(const std::string& uid, const Status& s, int code = 200) {
   return {code, json{{"uid", uid}, {"phase", name_of(s.phase)}, {"done", s.done}, {"running", s.running}}.dump(), 0, {}};
@@ -36,24 +33,15 @@
 }  // namespace
 
 FrontDesk::FrontDesk(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
-                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book)
+                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book, Questions& questions)
     : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router), index_(index),
-      registry_(registry), book_(book) {
+      registry_(registry), book_(book), questions_(questions) {
   router_.on("abort", [this](const Tag& from, const json& m) {
     const auto id = m.at("id").get<std::uint64_t>();
     book_.cancel(m.at("uid").get<std::string>(), [this, from, id](std::optional<Phase> phase) {
       router_.send(from, "aborted", {{"id", id}, {"phase", phase ? name_of(*phase) : ""}});
     });
   });
-  router_.on("status", [this](const Tag& from, const json& m) { on_status_asked(from, m); });
-  router_.on("final", [this](const Tag&, const json& m) {
-    // Written before it is said, and it never changes: whoever is asked next need not ask the state service.
-    Status s;
-    s.phase = m.at("phase").get<std::string>() == name_of(Phase::Done) ? Phase::Done : Phase::Cancelled;
-    if (s.phase == Phase::Done) s.done = m.at("tasks").get<std::uint32_t>();
-    remember(m.at("uid").get<std::string>(), s);
-  });
-  router_.on("state", [this](const Tag&, const json& m) { on_status_told(m); });
   router_.on("aborted", [this](const Tag&, const json& m) {
     auto node = aborts_.extract(m.at("id").get<std::uint64_t>());
     if (node.empty()) return;
@@ -83,8 +71,8 @@
   auto spec = wire::parse_submission(json::parse(body, nullptr, false), field);
   if (!spec) return respond(error(400, field));
   if (!membership_.entitled() || registry_.types().empty()) return respond(error(503, "not ready"));
-  if (book_.status(spec->uid) || finals_.contains(spec->uid) || index_.find(spec->uid)) {
-    return look_up(spec->uid, [respond, uid = spec->uid](Known known, Status s) {
+  if (book_.status(spec->uid) || questions_.ended(spec->uid) || index_.find(spec->uid)) {
+    return questions_.look_up(spec->uid, [respond, uid = spec->uid](Known known, Status s) {
       respond(known == Known::Yes ? status_of(uid, s) : error(503, "undecided"));
     });
   }
@@ -122,7 +110,7 @@
                   return key == cluster::keys::open_job(spec.uid) || key == cluster::keys::final_job(spec.uid);
                 });
                 if (known)
-                  return look_up(spec.uid, [respond, uid = spec.uid](Known k, Status s) {
+                  return questions_.look_up(spec.uid, [respond, uid = spec.uid](Known k, Status s) {
                     respond(k == Known::Yes ? status_of(uid, s) : error(503, "undecided"));
                   });
                 // The generation has changed under us: once more with the new one.
@@ -132,102 +120,9 @@
               });
 }
 
-Status FrontDesk::open_status(const std::string& uid) const {
-  Status s;
-  s.running = registry_.running(uid);
-  s.phase = s.running > 0 ? Phase::Running : Phase::Pending;
-  return s;
-}
-
-void FrontDesk::remember(const std::string& uid, const Status& status) {
-  if (finals_.size() >= kFinalsKept) finals_.erase(finals_.begin());
-  finals_[uid] = status;
-}
-
-void FrontDesk::look_up(const std::string& uid, Lookup done) {
-  if (auto it = finals_.find(uid); it != finals_.end()) return done(Known::Yes, it->second);
-  // While the end is being written, others may read and tell it before we hear that it was: ask the service too.
-  if (auto status = book_.status(uid); status && !status->deciding) {
-    const bool final = status->phase == Phase::Done || status->phase == Phase::Cancelled;
-    if (final) remember(uid, *status);
-    // Without a grant somebody else may own the job by now: only what can never change may be told.
-    if (final || membership_.entitled()) return done(Known::Yes, *status);
-    return done(Known::Unclear, {});
-  }
-  const auto* open = index_.find(uid);
-  const auto owner = index_.owner_of(uid);
-  if (open && !open->ended && membership_.entitled() && owner != membership_.self() && asked_.size() < kMaxAsked)
-    return ask_owner(owner, uid, std::move(done));
-  look_into_records(uid, std::move(done));
-}
-
-/// The owner knows best, and asking it spares the state service, whose requests all controllers share: at hundreds of
-/// open jobs polls alone would use them up. If it is silent, or says that it cannot tell, the service decides.
-void FrontDesk::ask_owner(const Tag& owner, const std::string& uid, Lookup done) {
-  const auto id = next_question_++;
-  asked_.emplace(id, Question{uid, std::move(done)});
-  router_.send(owner, "status", {{"id", id}, {"uid", uid}});
-  runtime_.after(kOwnerPatience, [this, id] {
-    if (auto node = asked_.extract(id); !node.empty()) look_into_records(node.mapped().uid, std::move(node.mapped().done));
-  });
-}
-
-void FrontDesk::on_status_asked(const Tag& from, const json& m) {
-  const auto uid = m.at("uid").get<std::string>();
-  json answer{{"id", m.at("id")}, {"known", false}};
-  // Without a grant somebody else may own the job by now; while its end is being written only the service can tell.
-  if (const auto s = book_.status(uid); s && !s->deciding && membership_.entitled())
-    answer.update({{"known", true}, {"phase", static_cast<unsigned>(s->phase)}, {"done", s->done}, {"running", s->running}});
-  router_.send(from, "state", std::move(answer));
-}
-
-void FrontDesk::on_status_told(const json& m) {
-  auto node = asked_.extract(m.at("id").get<std::uint64_t>());
-  if (node.empty()) return;  // too late: the service was asked meanwhile
-  auto& question = node.mapped();
-  const auto phase = m.value("phase", 0u);
-  if (!m.at("known").get<bool>() || phase > static_cast<unsigned>(Phase::Cancelled) || !membership_.entitled())
-    return look_into_records(question.uid, std::move(question.done));
-  Status s;
-  s.phase = static_cast<Phase>(phase);
-  s.done = m.at("done").get<std::uint32_t>();
-  s.running = m.at("running").get<std::uint32_t>();
-  if (s.phase == Phase::Done || s.phase == Phase::Cancelled) remember(question.uid, s);
-  question.done(Known::Yes, s);
-}
-
-void FrontDesk::look_into_records(const std::string& uid, Lookup done) {
-  // Never from the mirror, which may lag behind what another controller has told: the service itself decides. A job
-  // moves from its open to its final record in one transaction, hence the second look at the final one.
-  auto final_record = [this, uid](std::function<void(Known, Status)> done, std::function<void()> otherwise) {
-    client_.get(store::Priority::User, cluster::keys::final_job(uid), [this, uid, done, otherwise](store::GetResult g) {
-      if (!g.answered) return done(Known::Unclear, {});
-      if (!g.found) return otherwise();
-      Status s;
-      s.phase = g.value.value("phase", "") == "done" ? Phase::Done : Phase::Cancelled;
-      if (s.phase == Phase::Done) s.done = g.value.value("tasks", 0u);
-      remember(uid, s);
-      done(Known::Yes, s);
-    });
-  };
-  auto open_record = [this, uid](std::function<void(Known, Status)> done, std::function<void()> otherwise) {
-    client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid, done, otherwise](store::GetResult g) {
-      if (!g.answered) return done(Known::Unclear, {});
-      if (!g.found) return otherwise();
-      done(Known::Yes, open_status(uid));
-    });
-  };
-  if (client_.backlog() > kAskPatience) return done(Known::Unclear, {});
-  if (const auto* open = index_.find(uid); open && !open->ended)
-    return open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
-  final_record(done, [final_record, open_record, done] {
-    open_record(done, [final_record, done] { final_record(done, [done] { done(Known::No, {}); }); });
-  });
-}
-
 void FrontDesk::query(const std::string& uid, net::Responder respond) {
   if (!wire::valid_job_id(uid)) return respond(error(404, "no such job"));
-  look_up(uid, [respond, uid](Known known, Status s) {
+  questions_.look_up(uid, [respond, uid](Known known, Status s) {
     if (known == Known::Yes) return respond(status_of(uid, s));
     respond(known == Known::No ? error(404, "no such job") : error(503, "undecided"));
   });
@@ -248,7 +143,7 @@
     });
     return;
   }
-  look_up(uid, [respond, uid](Known known, Status s) {
+  questions_.look_up(uid, [respond, uid](Known known, Status s) {
     if (known == Known::No) return respond(error(404, "no such job"));
     if (known == Known::Yes && (s.phase == Phase::Done || s.phase == Phase::Cancelled))
       return respond({200, json{{"uid", uid}, {"phase", name_of(s.phase)}}.dump(), 0, {}});
--- /dev/null
+++ b/src/jobs/questions.cpp
@@ -0,0 +1,182 @@
+#include "jobs/questions.hpp"
+
+#include <utility>
+
+namespace limemast::jobs {
+namespace {
+using namespace std::chrono_literals;
+using wire::json;
+constexpr std::size_t kFinalsKept = 20'000;
+constexpr std::size_t kMaxWaiting = 2'000;
+constexpr auto kGather = 15ms;         ///< questions to one owner leave together
+constexpr auto kOwnerPatience = 400ms;
+constexpr auto kOwnerSilent = 2s;      ///< an owner that did not answer is not asked again for so long
+constexpr auto kLookEvery = 120ms;
+constexpr auto kAskPatience = 1s;      ///< a user waits for two seconds
+}  // namespace
+
+Questions::Questions(net::Runtime& runtime, store::Client& client, store::Mirror& mirror, cluster::Membership& membership,
+                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book)
+    : runtime_(runtime), client_(client), mirror_(mirror), membership_(membership), router_(router), index_(index), registry_(registry), book_(book) {
+  router_.on("status", [this](const Tag& from, const json& m) { on_status_asked(from, m); });
+  router_.on("state", [this](const Tag&, const json& m) { on_status_told(m); });
+  router_.on("final", [this](const Tag&, const json& m) {
+    // Written before it is said, and it never changes: whoever is asked next need not ask the state service.
+    Status s;
+    s.phase = m.at("phase").get<std::string>() == name_of(Phase::Done) ? Phase::Done : Phase::Cancelled;
+    if (s.phase == Phase::Done) s.done = m.at("tasks").get<std::uint32_t>();
+    remember(m.at("uid").get<std::string>(), s);
+  });
+}
+
+Status Questions::open_status(const std::string& uid) const {
+  Status s;
+  s.running = registry_.running(uid);
+  s.phase = s.running > 0 ? Phase::Running : Phase::Pending;
+  return s;
+}
+
+void Questions::remember(const std::string& uid, const Status& status) {
+  if (finals_.size() >= kFinalsKept) finals_.erase(finals_.begin());
+  finals_[uid] = status;
+}
+
+void Questions::look_up(const std::string& uid, Lookup done) {
+  if (auto it = finals_.find(uid); it != finals_.end()) return done(Known::Yes, it->second);
+  // While the end is being written, others may read and tell it before we hear that it was: ask the service too.
+  if (auto status = book_.status(uid); status && !status->deciding) {
+    const bool final = status->phase == Phase::Done || status->phase == Phase::Cancelled;
+    if (final) remember(uid, *status);
+    // Without a grant somebody else may own the job by now: only what can never change may be told.
+    if (final || membership_.entitled()) return done(Known::Yes, *status);
+    return done(Known::Unclear, {});
+  }
+  if (waiting_ >= kMaxWaiting) return done(Known::Unclear, {});
+  ++waiting_;
+  Asked asked{uid, [this, done = std::move(done)](Known known, Status s) {
+                --waiting_;
+                done(known, s);
+              }};
+  const auto* open = index_.find(uid);
+  const auto owner = index_.owner_of(uid);
+  const auto silent = silent_until_.find(owner);
+  if (!open || open->ended || !membership_.entitled() || owner == membership_.self() || !membership_.member(owner) ||
+      (silent != silent_until_.end() && runtime_.now() < silent->second)) {
+    Batch one;
+    one.push_back(std::move(asked));
+    return ask_service(std::move(one));
+  }
+  for_owner_[owner].push_back(std::move(asked));
+  if (std::exchange(flush_armed_, true)) return;
+  runtime_.after(kGather, [this] {
+    flush_armed_ = false;
+    flush();
+  });
+}
+
+void Questions::flush() {
+  for (auto& [owner, batch] : std::exchange(for_owner_, {})) ask_owner(owner, std::move(batch));
+}
+
+/// The owner knows best, and asking it costs the state service nothing.
+void Questions::ask_owner(const Tag& owner, Batch batch) {
+  const auto id = next_batch_++;
+  json uids = json::array();
+  for (const auto& asked : batch) uids.push_back(asked.uid);
+  at_owner_.emplace(id, std::move(batch));
+  router_.send(owner, "status", {{"id", id}, {"uids", std::move(uids)}});
+  runtime_.after(kOwnerPatience, [this, id, owner] {
+    auto node = at_owner_.extract(id);
+    if (node.empty()) return;
+    silent_until_[owner] = runtime_.now() + kOwnerSilent;
+    ask_service(std::move(node.mapped()));
+  });
+}
+
+void Questions::on_status_asked(const Tag& from, const json& m) {
+  json states = json::array();
+  for (const auto& uid : m.at("uids")) {
+    // Without a grant somebody else may own the job by now; while its end is being written only the service can tell.
+    if (const auto s = book_.status(uid.get_ref<const std::string&>()); s && !s->deciding && membership_.entitled())
+      states.push_back({static_cast<unsigned>(s->phase), s->done, s->running});
+    else
+      states.push_back(nullptr);
+  }
+  router_.send(from, "state", {{"id", m.at("id")}, {"states", std::move(states)}});
+}
+
+void Questions::on_status_told(const json& m) {
+  auto node = at_owner_.extract(m.at("id").get<std::uint64_t>());
+  if (node.empty()) return;  // too late: the service is asked by now
+  auto& batch = node.mapped();
+  const auto& states = m.at("states");
+  Batch untold;
+  for (std::size_t i = 0; i < batch.size(); ++i) {
+    const auto* state = i < states.size() && states[i].is_array() ? &states[i] : nullptr;
+    const auto phase = state ? state->at(0).get<unsigned>() : 0u;
+    if (!state || phase > static_cast<unsigned>(Phase::Cancelled) || !membership_.entitled()) {
+      untold.push_back(std::move(batch[i]));
+      continue;
+    }
+    Status s;
+    s.phase = static_cast<Phase>(phase);
+    s.done = state->at(1).get<std::uint32_t>();
+    s.running = state->at(2).get<std::uint32_t>();
+    if (s.phase == Phase::Done || s.phase == Phase::Cancelled) remember(batch[i].uid, s);
+    batch[i].done(Known::Yes, s);
+  }
+  ask_service(std::move(untold));
+}
+
+void Questions::ask_service(Batch batch) {
+  for (auto& asked : batch) for_service_.push_back(std::move(asked));
+  look_at_service();
+}
+
+/// One look answers all questions that came before it was sent: the mirror then shows every job that was open then.
+void Questions::look_at_service() {
+  if (looking_ || look_armed_ || for_service_.empty()) return;
+  if (const auto pause = kLookEvery - (runtime_.now() - last_look_); last_look_ != net::Time{} && pause > 0s) {
+    look_armed_ = true;
+    runtime_.after(pause, [this] {
+      look_armed_ = false;
+      look_at_service();
+    });
+    return;
+  }
+  looking_ = true;
+  last_look_ = runtime_.now();
+  auto batch = std::make_shared<Batch>(std::exchange(for_service_, {}));
+  mirror_.refresh([this, batch](bool fresh) {
+    looking_ = false;
+    for (auto& asked : *batch) after_look(std::move(asked), fresh);
+    for (auto& [uid, askers] : std::exchange(finals_wanted_, {})) read_final(uid, std::move(askers));
+    look_at_service();
+  });
+}
+
+void Questions::after_look(Asked asked, bool fresh) {
+  if (auto it = finals_.find(asked.uid); it != finals_.end()) return asked.done(Known::Yes, it->second);
+  if (!fresh) return asked.done(Known::Unclear, {});
+  if (const auto* open = index_.find(asked.uid); open && !open->ended) return asked.done(Known::Yes, open_status(asked.uid));
+  finals_wanted_[asked.uid].push_back(std::move(asked.done));
+}
+
+/// A job moves from its open to its final record in one transaction: what had no open record and has no final one later
+/// was never accepted.
+void Questions::read_final(const std::string& uid, std::vector<Lookup> askers) {
+  auto tell = [askers = std::move(askers)](Known known, const Status& s) {
+    for (const auto& done : askers) done(known, s);
+  };
+  if (client_.question_backlog() > kAskPatience) return tell(Known::Unclear, {});
+  client_.get(store::Priority::Question, cluster::keys::final_job(uid), [this, uid, tell](store::GetResult g) {
+    if (!g.answered) return tell(Known::Unclear, {});
+    if (!g.found) return tell(Known::No, {});
+    Status s;
+    s.phase = g.value.value("phase", "") == name_of(Phase::Done) ? Phase::Done : Phase::Cancelled;
+    if (s.phase == Phase::Done) s.done = g.value.value("tasks", 0u);
+    remember(uid, s);
+    tell(Known::Yes, s);
+  });
+}
+}  // namespace limemast::jobs
--- /dev/null
+++ b/src/jobs/questions.hpp
@@ -0,0 +1,60 @@
+#pragma once
+#include "jobs/book.hpp"
+#include "store/mirror.hpp"
+
+namespace limemast::jobs {
+/// Finds out what a user may be told of a job, whoever owns it, without a request to the state service for each
+/// question: users may ask many times as often as usual, and what they ask must not take the place of what they submit.
+///
+/// Questions are gathered and sent on together: to the job's owner, and where it is silent, or nobody knows the job, by
+/// one look at the state service after which the mirror is as fresh as a read of each record would be. No question
+/// joins one that was sent before it came: its asker may have been told something newer meanwhile.
+class Questions {
+ public:
+  enum class Known { Yes, No, Unclear };
+  using Lookup = std::function<void(Known, Status)>;
+  Questions(net::Runtime& runtime, store::Client& client, store::Mirror& mirror, cluster::Membership& membership, cluster::Router& router,
+            cluster::JobIndex& index, machines::Registry& registry, Book& book);
+  void look_up(const std::string& uid, Lookup done);
+  /// Its end is known here, which never changes.
+  bool ended(const std::string& uid) const { return finals_.contains(uid); }
+
+ private:
+  struct Asked {
+    std::string uid;
+    Lookup done;
+  };
+  using Batch = std::vector<Asked>;
+  void flush();
+  void ask_owner(const Tag& owner, Batch batch);
+  void ask_service(Batch batch);
+  void look_at_service();
+  void after_look(Asked asked, bool fresh);
+  void read_final(const std::string& uid, std::vector<Lookup> askers);
+  void on_status_asked(const Tag& from, const wire::json& m);
+  void on_status_told(const wire::json& m);
+  Status open_status(const std::string& uid) const;
+  void remember(const std::string& uid, const Status& status);
+
+  net::Runtime& runtime_;
+  store::Client& client_;
+  store::Mirror& mirror_;
+  cluster::Membership& membership_;
+  cluster::Router& router_;
+  cluster::JobIndex& index_;
+  machines::Registry& registry_;
+  Book& book_;
+  std::unordered_map<std::string, Status> finals_;
+  std::map<Tag, Batch> for_owner_;  ///< not sent yet
+  bool flush_armed_ = false;
+  std::map<std::uint64_t, Batch> at_owner_;
+  std::size_t waiting_ = 0;               ///< questions at owners and for the service
+  std::map<Tag, net::Time> silent_until_;  ///< owners that did not answer
+  std::uint64_t next_batch_ = 1;
+  Batch for_service_;
+  bool looking_ = false;
+  bool look_armed_ = false;
+  net::Time last_look_{};
+  std::map<std::string, std::vector<Lookup>> finals_wanted_;  ///< found ended by the last look, not asked for yet
+};
+}  // namespace limemast::jobs
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -19,6 +19,7 @@
 constexpr auto kRefusedKept = 120s;
 constexpr auto kLookAgain = 2s;
 constexpr auto kBeatGap = 3500ms;
+constexpr auto kServed = 3s;  ///< since the last renewed grant, sent every two seconds
 constexpr auto kRegisterDelay = 100ms;  ///< machines that were hired together come up together: one record holds them
 constexpr auto kRegisterRetry = 1s;
 constexpr std::size_t kRecordMachines = 64;
@@ -130,17 +131,21 @@
     if (!std::exchange(h.heard_lately, false) || !ours(name)) continue;
     machines.insert(machines.end(), {json(name), json(h.told_tenure), json(h.told_tick)});
   }
-  if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}});
   const auto now = runtime_.now();
+  if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}, {"served", now - membership_.served_by_state() < kServed}});
   std::erase_if(beats_, [&](const auto& b) { return !membership_.member(b.first); });
   for (const auto& tag : membership_.generation().members)
-    if (auto it = beats_.find(tag); tag != membership_.self() && (it == beats_.end() || now - it->second > kBeatGap)) registry_.set_linked_since(now);
+    if (auto it = beats_.find(tag); tag != membership_.self() && (it == beats_.end() || now - it->second.at > kBeatGap)) registry_.set_linked_since(now);
+}
+
+bool Host::others_served() const {
+  return std::any_of(beats_.begin(), beats_.end(), [&](const auto& b) { return b.second.served && runtime_.now() - b.second.at < kBeatGap; });
 }
 
 /// Machines that another controller heard of late, and the newest report of each that it sent us. What was lost on a
 /// broken link, or came before we had joined, is asked for again.
 void Host::on_heard(const cluster::Tag& from, const json& m) {
-  beats_[from] = runtime_.now();
+  beats_[from] = {runtime_.now(), m.at("served").get<bool>()};
   const auto& list = m.at("machines");
   json missing = json::array();
   for (std::size_t i = 0; i + 2 < list.size(); i += 3) {
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -20,6 +20,8 @@
   void on_generation();
   /// Once a second: tells the others whom we heard, and looks whether they do so.
   void tick();
+  /// Some other controller said just now that the state service serves it.
+  bool others_served() const;
   void on_machine_removed(const std::string& machine);
   void on_job_ended(const std::string& uid);
 
@@ -112,7 +114,11 @@
   std::uint64_t next_record_ = 1;
   std::size_t direct_calls_ = 0;
   std::set<std::string> direct_waiting_;  ///< machines whose orders wait until fewer calls are under way
-  std::map<cluster::Tag, net::Time> beats_;  ///< when each other controller last said whom it hears
+  struct Beat {
+    net::Time at{};
+    bool served = false;  ///< by the state service
+  };
+  std::map<cluster::Tag, Beat> beats_;  ///< when each other controller last said whom it hears
   std::map<std::string, net::Time> looked_into_;  ///< jobs unknown here, and when the state service was asked
   /// Attempts that we called absent: should their order come after all, it is refused.
   std::map<std::tuple<std::string, std::uint32_t, std::uint64_t>, net::Time> refused_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -31,6 +31,12 @@
   return net::to_duration(wire::Seconds(std::max(requests / requests_.rate(), writes / writes_.rate())));
 }
 
+net::Duration Client::question_backlog() const {
+  double requests = 0;
+  for (const auto& queue : queues_) requests += static_cast<double>(queue.size());
+  return net::to_duration(wire::Seconds(requests / requests_.rate()));
+}
+
 void Client::call(Priority priority, net::HttpRequest request, net::Duration timeout,
                   std::function<void(net::HttpResult)> done, double writes) {
   auto& queue = queues_[static_cast<std::size_t>(priority)];
@@ -45,15 +51,20 @@
 void Client::pump() {
   const auto now = runtime_.now();
   net::Duration wait = net::Duration::max();
+  bool writes_wait = false;  // for their own tokens: reads of less weight may pass them, other writes may not
   for (std::size_t p = 0; p < queues_.size(); ++p) {
     auto& queue = queues_[p];
     while (!queue.empty()) {
       auto& next = queue.front();
       // Vital calls run up a debt that the others pay.
       if (p != 0) {
-        const auto need = std::max(requests_.wait_for(now, 1), next.writes > 0 ? writes_.wait_for(now, next.writes) : net::Duration::zero());
+        if (next.writes > 0 && writes_wait) break;
+        const auto for_request = requests_.wait_for(now, 1);
+        const auto for_writes = next.writes > 0 ? writes_.wait_for(now, next.writes) : net::Duration::zero();
+        const auto need = std::max(for_request, for_writes);
         if (need > net::Duration::zero()) {
           wait = std::min(wait, need);
+          writes_wait = for_request <= net::Duration::zero();
           break;
         }
       }
@@ -68,7 +79,7 @@
                     });
     }
     // What is behind a waiting, more important queue waits as well.
-    if (!queue.empty()) break;
+    if (!queue.empty() && !writes_wait) break;
   }
   if (wait != net::Duration::max() && !armed_) {
     armed_ = true;
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -9,7 +9,7 @@
 namespace limemast::store {
 using wire::json;
 
-enum class Priority { Vital, User, Background };
+enum class Priority { Vital, User, Background, Question };
 
 struct Condition {
   std::string key;
@@ -53,6 +53,8 @@
             double writes = 0);
   /// How long a user's write would stand in line here before it is sent.
   net::Duration backlog() const;
+  /// How long a read for a user's question would stand in line.
+  net::Duration question_backlog() const;
   /// The controllers that share the limits at present: what one that is down leaves unused is the others'.
   void share_among(std::size_t controllers);
 
@@ -72,7 +74,7 @@
   std::string endpoint_;
   net::TokenBucket requests_;
   net::TokenBucket writes_;
-  std::array<std::deque<Pending>, 3> queues_;
+  std::array<std::deque<Pending>, 4> queues_;
   bool armed_ = false;
 };
 }  // namespace limemast::store
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -8,6 +8,7 @@
 constexpr auto kWait = 5s;
 constexpr auto kWatchTimeout = 8s;
 constexpr auto kListTimeout = 5s;
+constexpr auto kRefreshTimeout = 1500ms;
 constexpr auto kPause = 300ms;
 constexpr auto kPage = "500";
 }  // namespace
@@ -65,34 +66,48 @@
                {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(epoch_) + "&waitMs=" + std::to_string(wait), {}},
                kWatchTimeout, [this](net::HttpResult r) {
                  if (r.status == 410) return list("");
-                 const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
-                 if (!body.is_object() || !body.contains("epoch")) return retry([this] { watch(); });
-                 std::vector<Change> changes;
-                 if (auto news = body.find("news"); news != body.end()) {
-                   for (const auto& n : *news) {
-                     const auto stamp = n.at("stamp").get<std::uint64_t>();
-                     const bool removed = n.contains("remove");
-                     const auto key = n.at(removed ? "remove" : "set").get<std::string>();
-                     auto it = entries_.find(key);
-                     if (it != entries_.end() && it->second.stamp >= stamp) continue;
-                     if (removed) {
-                       if (it == entries_.end()) continue;
-                       entries_.erase(it);
-                     } else {
-                       entries_[key] = {n.at("v"), stamp};
-                     }
-                     changes.push_back({key, removed});
-                   }
-                 }
-                 epoch_ = std::max(epoch_, body["epoch"].get<std::uint64_t>());
-                 // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
-                 std::set<std::string> told;
-                 std::vector<Change> final;
-                 for (const auto& c : changes)
-                   if (told.insert(c.key).second) final.push_back({c.key, !entries_.contains(c.key)});
-                 changes = std::move(final);
-                 if (!changes.empty()) listener_(changes);
+                 if (!take(r.status == 200 ? json::parse(r.body, nullptr, false) : json())) return retry([this] { watch(); });
                  watch();
                });
 }
+
+void Mirror::refresh(std::function<void(bool)> done) {
+  if (!synced_) return done(false);
+  client_.call(Priority::Vital, {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(epoch_) + "&waitMs=0", {}}, kRefreshTimeout,
+               [this, done = std::move(done)](net::HttpResult r) {
+                 done(take(r.status == 200 ? json::parse(r.body, nullptr, false) : json()));
+               });
+}
+
+bool Mirror::take(const json& body) {
+  if (!body.is_object() || !body.contains("epoch")) return false;
+  std::vector<Change> changes;
+  if (auto news = body.find("news"); news != body.end()) {
+    for (const auto& n : *news) {
+      const auto stamp = n.at("stamp").get<std::uint64_t>();
+      // Two answers may overlap, and come in any order. What the mirror has passed already must not come back: a key
+      // set and removed meanwhile would stay for ever.
+      if (stamp <= epoch_) continue;
+      const bool removed = n.contains("remove");
+      const auto key = n.at(removed ? "remove" : "set").get<std::string>();
+      auto it = entries_.find(key);
+      if (it != entries_.end() && it->second.stamp >= stamp) continue;
+      if (removed) {
+        if (it == entries_.end()) continue;
+        entries_.erase(it);
+      } else {
+        entries_[key] = {n.at("v"), stamp};
+      }
+      changes.push_back({key, removed});
+    }
+  }
+  epoch_ = std::max(epoch_, body["epoch"].get<std::uint64_t>());
+  // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
+  std::set<std::string> told;
+  std::vector<Change> final;
+  for (const auto& c : changes)
+    if (told.insert(c.key).second) final.push_back({c.key, !entries_.contains(c.key)});
+  if (!final.empty()) listener_(final);
+  return true;
+}
 }  // namespace limemast::store
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -23,11 +23,15 @@
   const std::map<std::string, Entry>& entries() const { return entries_; }
   const Entry* find(const std::string& key) const;
   bool synced() const { return synced_; }
+  /// Reads on at once. With `true` the mirror shows all that was written before this call, as a read of each key would.
+  void refresh(std::function<void(bool)> done);
   std::uint64_t epoch() const { return epoch_; }
 
  private:
   void list(const std::string& from);
   void watch();
+  /// Takes in the answer to a watch; false if it is none.
+  bool take(const json& body);
   void retry(std::function<void()> again);
 
   net::Runtime& runtime_;
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -135,6 +135,55 @@
   }
 }
 
+class Trouble : public testing::Test {
+ protected:
+  void SetUp() override { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
+  int ready(std::size_t node) {
+    int status = 0;
+    cluster_.ask(node, {"GET", "/ready", {}}, [&](net::HttpResponse r) { status = r.status; });
+    return status;
+  }
+  World world_{7};
+  Cluster cluster_{world_, settings_for_tests(), {}};
+};
+
+// inc-92a9: a controller that the state service alone refused called itself ready for as long as its grant counted, and
+// users kept coming to it in vain. In an outage for all there is nobody better to go to.
+TEST_F(Trouble, RefusedAloneIsNotReady) {
+  cluster_.run(20s);
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(ready(i), 200);
+  cluster_.cut(1, Cluster::Side::State, false, 9s);
+  cluster_.run(8s);
+  EXPECT_EQ(ready(0), 200);
+  EXPECT_EQ(ready(1), 503);
+  cluster_.run(6s);
+  EXPECT_EQ(ready(1), 200);
+  cluster_.state_outage(9s);
+  cluster_.run(8s);
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(ready(i), 200);
+}
+
+// Polls for the jobs of a controller that stood still used up the state service's requests, and submissions waited.
+TEST_F(Trouble, ManyQuestionsCostFewRequests) {
+  cluster_.stop_arrivals();
+  cluster_.run(20s);
+  auto spec = plain_job(cluster_, "red", 3, 400);
+  cluster_.submit(spec);
+  cluster_.run(10s);
+  const auto owner = cluster_.leader();
+  cluster_.freeze(owner, 6s);
+  cluster_.run(2s);
+  const auto before = cluster_.state().handled();
+  int told = 0;
+  for (int i = 0; i < 500; ++i) {
+    cluster_.ask((owner + 1) % 3, {"GET", "/submissions/" + spec.uid, {}}, [&](net::HttpResponse r) { told += r.status == 200; });
+    cluster_.run(2ms);
+  }
+  cluster_.run(1s);
+  EXPECT_EQ(told, 500);
+  EXPECT_LT(cluster_.state().handled() - before, 60u);
+}
+
 /// The checks themselves: each planted violation must be caught, and a good day must not be.
 class PlantedViolation : public testing::Test {
  protected:
--- a/tests/standins/state_service.cpp
+++ b/tests/standins/state_service.cpp
@@ -71,6 +71,7 @@
 }
 
 void StateService::handle(const net::HttpRequest& r, Answer answer) {
+  ++handled_;
   check_grants();
   const auto body = json::parse(r.body, nullptr, false);
   const auto path = r.path.substr(0, r.path.find('?'));
--- a/tests/standins/state_service.hpp
+++ b/tests/standins/state_service.hpp
@@ -12,6 +12,7 @@
 
   void handle(const net::HttpRequest& request, Answer answer);
   void set_outage(bool on);
+  std::size_t handled() const { return handled_; }
   std::size_t keys() const { return entries_.size(); }
   const json* value(const std::string& key) const {
     auto it = entries_.find(key);
@@ -53,6 +54,7 @@
 
   World& world_;
   std::size_t log_size_;
+  std::size_t handled_ = 0;
   bool outage_ = false;
   std::uint64_t epoch_ = 0;
   std::uint64_t next_grant_ = 1;
--- a/tests/store/mirror_test.cpp
+++ b/tests/store/mirror_test.cpp
@@ -26,14 +26,18 @@
     };
     world_.at(timeout, [finish] { finish({0, true, {}}); });
     if (cut) return;
+    ++requests;
     world_.at(5ms, [this, request, finish] {
-      service_.handle(request, [this, finish](net::HttpResult r) {
-        if (!cut) world_.at(5ms, [finish, r] { finish(r); });
+      const bool waits = request.path.find("waitMs=0") == std::string::npos && request.path.rfind("/changes", 0) == 0;
+      service_.handle(request, [this, finish, waits](net::HttpResult r) {
+        if (!cut) world_.at(waits ? watch_latency : 5ms, [finish, r] { finish(r); });
       });
     });
   }
   void send_peer(const std::string&, const wire::json&) override {}
   bool cut = false;
+  net::Duration watch_latency = 5ms;
+  std::size_t requests = 0;
 
  private:
   World& world_;
@@ -104,6 +108,54 @@
   EXPECT_EQ(mirror_->find("w/back")->value, 2);
 }
 
+// Users' questions are answered from the mirror: after a refresh it must be as new as a read of the key would be.
+TEST_F(MirrorTest, RefreshShowsAllThatWasWrittenBefore) {
+  run(1s);
+  runtime_.watch_latency = 2s;
+  service_.put("w/a", 1);
+  service_.put("elsewhere", 1);
+  std::optional<bool> fresh;
+  mirror_->refresh([&](bool ok) {
+    fresh = ok;
+    EXPECT_NE(mirror_->find("w/a"), nullptr);
+  });
+  run(50ms);
+  EXPECT_EQ(fresh, true);
+  runtime_.cut = true;
+  mirror_->refresh([&](bool ok) { fresh = ok; });
+  run(3s);
+  EXPECT_EQ(fresh, false);
+}
+
+// The slow answer to a watch shows a key set that a refresh has shown as removed since: it must not come back for ever.
+TEST_F(MirrorTest, AnOlderAnswerBringsNothingBack) {
+  run(1s);
+  runtime_.watch_latency = 2s;
+  service_.put("w/a", 1);
+  run(100ms);
+  service_.remove("w/a");
+  service_.put("w/b", 1);
+  mirror_->refresh([](bool ok) { EXPECT_TRUE(ok); });
+  run(10s);
+  EXPECT_EQ(mirror_->find("w/a"), nullptr);
+  EXPECT_NE(mirror_->find("w/b"), nullptr);
+}
+
+// A burst of submissions waits for its changes; what users ask meanwhile needs none, and must not take their place.
+TEST_F(MirrorTest, QuestionsPassWaitingWritesAndTakeNothingFromThem) {
+  run(1s);
+  std::size_t written = 0, asked = 0;
+  for (int i = 0; i < 300; ++i) {
+    client_->txn(Priority::User, {}, {{"x/" + std::to_string(i), json(i), 0}}, [&](TxnResult) { ++written; });
+    client_->get(Priority::Question, "x/0", [&](GetResult) { ++asked; });
+  }
+  run(1200ms);
+  EXPECT_GT(written, 150u);
+  run(9s);
+  EXPECT_EQ(written, 300u);
+  EXPECT_EQ(asked, 300u);
+}
+
 TEST_F(MirrorTest, ReadsAnewWhenTheLogNoLongerReaches) {
   service_.put("w/old", 1);
   run(1s);
