--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -27,8 +27,7 @@
 constexpr std::size_t kMaxUnregister = 4;  ///< records of machines changed in one transaction
 constexpr std::uint32_t kMaxHire = 50;
 constexpr std::size_t kMaxRelease = 100;
-constexpr std::size_t kSickErrors = 3;
-constexpr std::size_t kSickJobs = 2;
+constexpr std::size_t kManyOverdue = 2;
 }  // namespace
 
 Fleet::Fleet(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
@@ -141,18 +140,16 @@
     // Silent for a whole lease: its tasks have ended or it is no more. Giving it back proves it.
     // What another controller hears counts only while we can speak with it.
     if (now - std::max(view.heard, registry_.linked_since()) > lease + net::to_duration(settings_.report)) to_release_.insert(name);
-    // A machine that fails tasks of different jobs is faulty; a job that fails everywhere is not the machine's fault.
-    auto& errors = errors_[name];
+    if (!std::exchange(m.up, true) && m.hired)
+      if (const auto* type = registry_.type(m.type)) boots_.came(m.type, m.zone, net::to_seconds(view.first_heard - m.since), type->boot, now);
     for (const auto& t : view.report.tasks) {
       if (!t.exited()) continue;
-      if (t.cause == wire::Cause::Error) {
-        errors.attempts.insert({t.uid, t.attempt});
-        errors.jobs.insert(t.uid);
-      } else if (t.cause == wire::Cause::Done) {
-        errors = {};
-      }
+      if (t.cause == wire::Cause::Error)
+        blame_.failed(name, t.uid, t.attempt);
+      else if (t.cause == wire::Cause::Done)
+        blame_.completed(name, t.uid);
     }
-    if (errors.attempts.size() >= kSickErrors && errors.jobs.size() >= kSickJobs && !registry_.closed(name)) {
+    if (blame_.sick(name) && !registry_.closed(name)) {
       spdlog::info("machine {} fails what it starts: draining it, generation {}", name, membership_.generation().number);
       registry_.close(name);
       m.closed_at = now;
@@ -168,7 +165,11 @@
     if (!heard && registry_.registered(name) && now - std::max({m.since, led_since_, registry_.linked_since()}) > lease + 10s) to_release_.insert(name);
     if (!heard && !registry_.registered(name) && now - m.since > boot) to_release_.insert(name);
   }
-  std::erase_if(errors_, [&](const auto& e) { return !registry_.find(e.first); });
+  blame_.keep([&](const auto& machine) { return registry_.find(machine) != nullptr; },
+              [&](const auto& uid) {
+                const auto* job = index_.find(uid);
+                return job && !job->ended;
+              });
 }
 
 double Fleet::units(const wire::MachineType& type, const wire::JobSpec& spec) const {
@@ -224,11 +225,18 @@
   return out;
 }
 
+bool Fleet::overdue(const std::string& name, const Machine& m) const {
+  const auto* type = registry_.type(m.type);
+  const auto now = runtime_.now();
+  return type && !registry_.find(name) && !registry_.registered(name) &&
+         net::to_seconds(now - m.since) > boots_.patience(m.type, m.zone, type->boot, now);
+}
+
 Fleet::Need Fleet::have() const {
   Need out;
   for (const auto& [name, m] : machines_) {
     const auto* type = registry_.type(m.type);
-    if (!type || to_release_.contains(name) || registry_.closed(name)) continue;
+    if (!type || to_release_.contains(name) || registry_.closed(name) || overdue(name, m)) continue;
     if (const auto* view = registry_.find(name); view && view->report.notice) continue;
     (m.spot ? out.cheap : out.firm[m.zone]) += type->cpus;
   }
@@ -378,14 +386,18 @@
     const wire::MachineType* type;
     std::string zone;
     double cost;  ///< per CPU that the waiting tasks can really use
+    bool late;    ///< of those asked for of late, several have not come
   };
   // A typical task: what most of the waiting CPUs ask for.
   const auto* typical = *std::max_element(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
     return a->cpus * a->tasks < b->cpus * b->tasks;
   });
   std::map<std::string, double> by_zone;
-  for (const auto& [name, m] : machines_)
+  std::map<std::pair<std::string, std::string>, std::size_t> late;  // by type and zone: machines that should be up
+  for (const auto& [name, m] : machines_) {
     if (const auto* t = registry_.type(m.type); t && m.spot == spot) by_zone[m.zone] += t->cpus;
+    if (overdue(name, m)) ++late[{m.type, m.zone}];
+  }
   std::vector<Offer> offers;
   for (const auto& type : prices_) {
     if (!typical->allows_type(type.name)) continue;
@@ -395,12 +407,13 @@
       auto until = refused_until_.find({type.name, zone, spot});
       if (until != refused_until_.end() && now < until->second) continue;
       if ((typical->zone && *typical->zone != zone) || (zones && !zones->contains(zone))) continue;
-      offers.push_back({&type, zone, (spot ? type.spot_price : type.price) / used});
+      offers.push_back({&type, zone, (spot ? type.spot_price : type.price) / used, late[{type.name, zone}] >= kManyOverdue});
     }
   }
   if (offers.empty()) return false;
   // Ordinary machines hold services: they are spread over the zones before the price is looked at.
   std::sort(offers.begin(), offers.end(), [&](const Offer& a, const Offer& b) {
+    if (a.late != b.late) return b.late;
     if (!spot && a.zone != b.zone && std::abs(by_zone[a.zone] - by_zone[b.zone]) > 1e-6) return by_zone[a.zone] < by_zone[b.zone];
     if (a.cost != b.cost) return a.cost < b.cost;
     return by_zone[a.zone] < by_zone[b.zone];
@@ -436,6 +449,7 @@
           m.zone = it->zone;
           m.spot = it->spot;
           m.since = runtime_.now();
+          m.hired = true;
           ++got;
         }
         if (got < it->count) refused_until_[key] = runtime_.now() + kRefusedFor;
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "cloud/health.hpp"
 #include "jobs/placer.hpp"
 
 namespace limemast::cloud {
@@ -23,7 +24,8 @@
     net::Time idle_since{};
     net::Time closed_at{};
     bool listed = false;
-    bool releasing = false;
+    bool hired = false;        ///< by us: `since` is when
+    bool up = false;           ///< it has been heard
   };
   struct Hire {
     std::string name;
@@ -57,6 +59,8 @@
   void give_back();
   void release(const std::vector<std::string>& names);
   void unregister();
+  /// Rented and not up for so long that nobody should count on it.
+  bool overdue(const std::string& name, const Machine& m) const;
   bool busy(const std::string& machine) const;
   double units(const wire::MachineType& type, const wire::JobSpec& spec) const;
   bool take_call();
@@ -81,11 +85,8 @@
   bool spot_refused_ = false;
   std::set<std::string> to_release_;
   std::set<std::string> to_unregister_;
-  struct Errors {
-    std::set<std::pair<std::string, std::uint64_t>> attempts;
-    std::set<std::string> jobs;
-  };
-  std::map<std::string, Errors> errors_;
+  Blame blame_;
+  Boots boots_;
   std::uint64_t next_hire_ = 1;
   net::Time led_since_{};
   net::Time last_list_{};
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -18,6 +18,8 @@
 constexpr double kNoticeTrust = 0.8;  ///< a machine may be taken before its notice says
 constexpr auto kFailurePause = 250ms;
 constexpr unsigned kMaxDoublings = 7;
+constexpr unsigned kFailsEverywhere = 3;  ///< machines
+constexpr auto kTrial = 3s;
 constexpr unsigned kAttemptBits = 24;
 }  // namespace
 
@@ -291,22 +293,43 @@
   const bool finished = t.cause == wire::Cause::Done && !job.open.spec.service;
   spdlog::debug("job {} task {} exited on {}: {}, generation {}", job.open.spec.uid, index, machine, wire::name_of(t.cause),
                 membership_.generation().number);
+  const auto bound = job.bound.find(index);
+  const auto ran = bound != job.bound.end() && bound->second.running ? runtime_.now() - bound->second.running_since : net::Duration::zero();
   unbind(job, index, !finished);
   if (finished) {
     mark_done(job, index);
   } else if (t.cause == wire::Cause::Error || t.cause == wire::Cause::NoSuch || t.cause == wire::Cause::Done) {
-    job.failed_on[machine] = runtime_.now();
-    // A job that fails everywhere keeps its small remaining estimate and would win every pull: it is backed off. Only
-    // failures on different machines count: one faulty machine must not stop the jobs that it failed many tasks of.
-    if (const auto machines = static_cast<unsigned>(job.failed_on.size()); machines > 1)
-      job.not_before = runtime_.now() + kFailurePause * (1u << std::min(machines, kMaxDoublings));
-    spdlog::info("job {} task {} failed on {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
+    on_failure(job, index, machine, ran);
   } else if (t.cause == wire::Cause::Full || t.cause == wire::Cause::InUse) {
     spdlog::debug("job {} task {} refused by {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
   }
   // Its entry on the machine is cleared below, with the same report, unless its result has yet to be recorded.
 }
 
+void Book::on_failure(Job& job, std::uint32_t index, const std::string& machine, net::Duration ran) {
+  job.failed_on[machine] = runtime_.now();
+  job.longest_failure = std::max(job.longest_failure, ran);
+  // A job that fails everywhere keeps its small remaining estimate and would win every pull: it is backed off. Only
+  // failures on different machines count: one faulty machine must not stop the jobs that it failed many tasks of.
+  const auto machines = static_cast<unsigned>(job.failed_on.size());
+  if (machines > 1) job.not_before = runtime_.now() + kFailurePause * (1u << std::min(machines, kMaxDoublings));
+  const bool failing = machines >= kFailsEverywhere && job.done_count == 0;
+  if (failing && !std::exchange(job.failing, true))
+    spdlog::info("job {} fails on every machine, task {} now on {}: one task at a time, generation {}", job.open.spec.uid, index, machine,
+                 membership_.generation().number);
+  else if (!job.failing)
+    spdlog::info("job {} task {} failed on {}, generation {}", job.open.spec.uid, index, machine, membership_.generation().number);
+}
+
+/// A job that has failed on several machines and completed nothing tries one task at a time, until one has run for well
+/// longer than those that failed: each pause would end in hundreds of starts otherwise, and machines be hired for them.
+bool Book::may_try(const Job& job) const {
+  if (!job.failing || job.done_count > 0 || job.open.spec.gang) return true;
+  return std::all_of(job.bound.begin(), job.bound.end(), [&](const auto& b) {
+    return b.second.running && runtime_.now() - b.second.running_since > 2 * job.longest_failure + kTrial;
+  });
+}
+
 void Book::mark_done(Job& job, std::uint32_t index) {
   if (job.done[index]) return;
   job.done[index] = true;
@@ -334,7 +357,7 @@
 
 bool Book::may_hand_out(const Job& job) const {
   return membership_.entitled() && job.alive() && job.progress_known && runtime_.now() >= job.not_before &&
-         gate_open(job);
+         may_try(job) && gate_open(job);
 }
 
 bool Book::may_place(const Job& job, const View& view, bool budget) {
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -56,6 +56,8 @@
   std::map<std::string, Tag> probes;           ///< machine -> the controller that queues it
   std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
   net::Time not_before{};
+  net::Duration longest_failure{};  ///< the longest that a task of it ran before it failed
+  bool failing = false;             ///< it has failed on several machines and completed nothing: said in the log
   std::optional<Phase> ending;   ///< decided, being written
   bool over = false;             ///< written
   std::vector<std::function<void(std::optional<Phase>)>> waiting;
@@ -116,7 +118,9 @@
   void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
   void unbind(Job& job, std::uint32_t index, bool todo);
   std::optional<std::uint32_t> next_task(Job& job);
+  bool may_try(const Job& job) const;
   void on_exit(Job& job, std::uint32_t index, const wire::TaskReport& t, const std::string& machine);
+  void on_failure(Job& job, std::uint32_t index, const std::string& machine, net::Duration ran);
   void mark_done(Job& job, std::uint32_t index);
   void finish(Job& job, Phase phase);
   void commit(const std::string& uid);
