--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -195,7 +195,7 @@
     const auto& s = open.spec;
     const auto it = book_.jobs().find(uid);
     const auto* job = it == book_.jobs().end() ? nullptr : it->second.get();
-    const double tasks = s.tasks - (job ? job->done_count : 0);
+    const double tasks = job ? job->unfinished() : open.unfinished.value_or(s.tasks);
     if (!s.service && s.spot) {
       out.cheap += tasks * s.cpus;
       cheap_jobs.push_back(&s);
--- a/src/cluster/job_index.hpp
+++ b/src/cluster/job_index.hpp
@@ -14,6 +14,7 @@
   net::WallTime submitted{};
   std::uint64_t stamp = 0;
   std::optional<std::uint32_t> left;  ///< tasks not handed out, as its owner last said
+  std::optional<std::uint32_t> unfinished;  ///< tasks that machines are needed for, likewise
   bool spec_known = true;
   bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
   net::Time ended_at{};
@@ -60,8 +61,11 @@
     it->second.ended = true;
     it->second.ended_at = now;
   }
-  void set_left(const std::string& uid, std::uint32_t left) {
-    if (auto it = jobs_.find(uid); it != jobs_.end()) it->second.left = left;
+  void set_left(const std::string& uid, std::uint32_t left, std::uint32_t unfinished) {
+    auto it = jobs_.find(uid);
+    if (it == jobs_.end()) return;
+    it->second.left = left;
+    it->second.unfinished = unfinished;
   }
   /// The state service itself says that this job, of which a machine still runs a task, has no open record.
   void ended_before_our_time(const std::string& uid, net::Time now) {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -574,7 +574,7 @@
 
 void Book::tell_left(const std::vector<const Job*>& jobs) {
   json left = json::array();
-  for (const auto* job : jobs) left.push_back({job->open.spec.uid, job->todo()});
+  for (const auto* job : jobs) left.push_back({job->open.spec.uid, job->todo(), job->unfinished()});
   router_.broadcast("left", {{"jobs", left}});
   router_.send(membership_.self(), "left", {{"jobs", left}});
   for (const auto* job : jobs)
@@ -708,7 +708,7 @@
       const auto* view = registry_.find(p.first);
       return !view || view->host != p.second;
     });
-    if (!job->probes.empty()) left.push_back(job.get());
+    left.push_back(job.get());
     if (membership_.entitled()) probe(*job);
   }
   if (!left.empty() && membership_.entitled()) tell_left(left);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -63,6 +63,8 @@
   std::vector<std::function<void(std::optional<Phase>)>> waiting;
 
   std::uint32_t todo() const { return open.spec.tasks - done_count - static_cast<std::uint32_t>(bound.size()); }
+  /// How many tasks machines are needed for. A job that fails everywhere tries one at a time.
+  std::uint32_t unfinished() const { return failing && done_count == 0 ? 1 : open.spec.tasks - done_count; }
   bool alive() const { return !ending && !over; }
 };
 
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -180,7 +180,7 @@
   for (const auto& entry : m.at("jobs")) {
     const auto& uid = entry.at(0).get_ref<const std::string&>();
     const auto left = entry.at(1).get<std::uint32_t>();
-    jobs_.set_left(uid, left);
+    jobs_.set_left(uid, left, entry.at(2).get<std::uint32_t>());
     if (left == 0) {
       remove_probes_of(uid);
     } else if (auto it = probed_.find(uid); it != probed_.end()) {
