--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -75,7 +75,7 @@
 
 void Node::on_generation() {
   client_.share_among(membership_.generation().members.size());
-  host_.on_generation();
+  host_.on_generation(membership_.lost_member());
   book_.on_generation();
   fleet_.on_generation();
 }
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace limemast::cluster {
 namespace {
@@ -143,7 +144,8 @@
     generation_.number = entry->stamp;
     generation_.leader = entry->value.at("leader").get<Tag>();
     const auto members = entry->value.at("members").get<std::vector<Tag>>();
-    generation_.members = {members.begin(), members.end()};
+    const auto before = std::exchange(generation_.members, {members.begin(), members.end()});
+    lost_member_ = std::any_of(before.begin(), before.end(), [&](const Tag& tag) { return !member(tag); });
     if (generation_.leader != old_leader) leading_since_ = generation_.number;
     spdlog::info("generation {} leader {} members {}", generation_.number, generation_.leader, members.size());
     events_.changed();
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -41,6 +41,8 @@
   bool member(const Tag& tag) const { return generation_.members.contains(tag); }
   /// The member that runs on the controller `label`, or "".
   Tag member_at(const std::string& label) const;
+  /// The generation before had a member that the present one has not.
+  bool lost_member() const { return lost_member_; }
   /// Conditions for every write: a transaction applied minutes late must fail.
   std::vector<store::Condition> fences() const;
   /// The generation from which on the present leader has led without a break.
@@ -70,6 +72,7 @@
   Generation generation_;
   std::uint64_t leading_since_ = 0;
   net::Time served_{};
+  bool lost_member_ = false;
   bool electing_ = false;
   bool writing_ = false;
   bool lost_ = false;
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -598,7 +598,8 @@
     d.answered = false;
     orders.push_back(d.order);
   }
-  if (orders.empty()) return;
+  const bool announce = std::exchange(h.announce, false) && view->report.mandate < cluster::mandate_base(membership_.generation().number);
+  if (orders.empty() && !announce) return;
   h.outbox.clear();
   h.direct_busy = true;
   ++direct_calls_;
@@ -654,12 +655,18 @@
   }
   if (ours(machine)) {
     pump(machine);
-    if (!h.outbox.empty()) flush_soon(machine);
+    if (!h.outbox.empty() || h.announce) flush_soon(machine);
   }
 }
 
-void Host::on_generation() {
+void Host::on_generation(bool lost) {
   for (auto& [machine, h] : hosted_) {
+    // What was taken over waits until every machine has shown the new mandate. Their reports would bring it within a
+    // report's interval and a quarter; the answer to a command, though it orders nothing, brings it at once.
+    if (lost) {
+      h.announce = true;
+      flush_soon(machine);
+    }
     // Runs that a lost owner asked for and that have not left us are dropped: its jobs' new owner knows nothing of
     // them and counts on every mandate of the new generation to prove what is where.
     std::erase_if(h.deliveries, [&](const Delivery& d) { return d.path == Path::Queued && !membership_.member(d.owner); });
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -17,7 +17,8 @@
 
   /// POST /hello
   void hello(const wire::Report& report, net::Responder respond);
-  void on_generation();
+  /// `lost`: a member of the generation before is no more.
+  void on_generation(bool lost);
   /// Once a second: tells the others whom we heard, and looks whether they do so.
   void tick();
   /// Some other controller said just now that the state service serves it.
@@ -56,6 +57,7 @@
     net::Time answered{};
     bool direct_busy = false;
     bool flush_armed = false;
+    bool announce = false;        ///< a direct command goes out though nothing is to be ordered
     std::uint64_t told_tenure = 0;  ///< the newest report that the others were sent
     std::uint64_t told_tick = 0;
     bool told_hello = false;        ///< and whether it was one, or the body of a direct command
