--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -11,6 +11,7 @@
 constexpr wire::Seconds kIndifference{5};
 constexpr auto kPause = 200ms;
 constexpr auto kLookAgain = 500ms;  ///< though nothing has changed: pauses end and machines fall silent
+constexpr auto kWaitsForRoom = 240s;
 constexpr auto kEvictAgain = 1s;    ///< a job that nothing gives way to asks again after this
 }  // namespace
 
@@ -64,11 +65,12 @@
   if (waiting.empty()) return;
   std::sort(waiting.begin(), waiting.end());
   auto free = slots();
+  guaranteed_.clear();
+  const bool guests = std::any_of(waiting.begin(), waiting.end(), [&](const auto& w) { return settings_.guest(w.second->open.spec.team); });
+  short_lack_ = guests && short_tasks_lack() > 0;
   std::set<Shape> too_big;  // what one task found no room for, the next of its like need not look for
   for (const auto& [order, job] : waiting) {
     const auto& s = job->open.spec;
-    // A machine with a long task is lost to short jobs: guests get none while short jobs of others wait for room.
-    if (settings_.guest(s.team) && short_tasks_lack() > 0) continue;
     if (s.gang) {
       place_gang(*job, free);
       continue;
@@ -91,12 +93,10 @@
 
 std::vector<Placer::Slot*> Placer::fitting(const Job& job, Slots& slots) {
   const auto need = machines::Room::of(job.open.spec);
-  // A long task keeps its machine from being given back: a guest's does so only to those that cost little, or are kept
-  // by others anyhow.
-  const bool guest = job.open.spec.spot && settings_.guest(job.open.spec.team);
+  const bool guest = settings_.guest(job.open.spec.team);
   std::vector<Slot*> out;
   for (auto& slot : slots)
-    if (slot.free.fits(need) && (!guest || slot.view->report.spot || registry_.holds_long(*slot.view)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
+    if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
   return out;
 }
 
@@ -121,6 +121,17 @@
   return {s.rank >= wire::Rank::Urgent ? -rank : 0, settings_.guest(s.team), aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
+/// A machine with a long task is lost to short jobs, and is not given back: while short jobs of others wait for room, and
+/// where the machine is a dear one that the job need not have, guests go only to those that others hold anyhow.
+bool Placer::open_to_guests(const Slot& slot, const wire::JobSpec& s) const {
+  const auto& r = slot.view->report;
+  if (!short_lack_ && (r.spot || !s.spot)) return true;
+  return std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
+    const auto* other = t.exited() ? nullptr : index_.find(t.uid);
+    return other && other->is_long && !settings_.guest(other->spec.team);
+  });
+}
+
 void Placer::place_gang(const Job& job, Slots& slots) {
   // All of them or none: a gang that holds machines while it waits for its last task wastes them. One zone is tried
   // after the other if the gang must stay in one.
@@ -232,24 +243,30 @@
   return settings_.guest(victim.team) && !settings_.guest(job.team);
 }
 
-bool Placer::within_guarantee(const wire::JobSpec& s) const {
+bool Placer::within_guarantee(const wire::JobSpec& s) {
   const auto& team = settings_.teams.at(s.team);
   if (team.cpus <= 0 && team.accelerators <= 0) return false;
-  machines::Room used = machines::Room::of(s);
-  for (const auto& [uid, open] : index_.all()) {
-    if (open.ended || open.spec.team != s.team) continue;
-    const double n = registry_.running(uid);
-    used.cpus += n * open.spec.cpus;
-    used.accelerators += n * open.spec.accelerators;
-  }
+  auto [it, fresh] = guaranteed_.try_emplace(s.team);
+  if (fresh)
+    for (const auto& [uid, open] : index_.all()) {
+      if (open.ended || open.spec.team != s.team) continue;
+      const double n = registry_.running(uid);
+      it->second += {n * open.spec.cpus, 0, n * open.spec.accelerators};
+    }
+  auto used = it->second;
+  used += machines::Room::of(s);
   return used.cpus <= team.cpus + machines::Room::kSlack && used.accelerators <= team.accelerators + machines::Room::kSlack;
 }
 
 /// CPUs that waiting short tasks ask for beyond what is free on machines without long tasks; guests' tasks wait.
 double Placer::short_tasks_lack() const {
   double lack = 0;
-  for (const auto& [uid, open] : index_.all())
-    if (!open.ended && !open.is_long && !settings_.guest(open.spec.team)) lack += open.left.value_or(open.spec.tasks) * open.spec.cpus;
+  const auto wall = runtime_.wall();
+  for (const auto& [uid, open] : index_.all()) {
+    // What has waited for minutes waits for something else than room: it must not starve the guests as well.
+    if (open.ended || open.is_long || settings_.guest(open.spec.team) || wall - open.submitted > kWaitsForRoom) continue;
+    lack += std::min(open.left.value_or(open.spec.tasks), open.unfinished.value_or(open.spec.tasks)) * open.spec.cpus;
+  }
   if (lack <= 0) return 0;
   for (const auto& [name, view] : registry_.views())
     if (view.takes_work() && !registry_.holds_long(view) && !book_.has_long(name)) lack -= registry_.reported_room(view).cpus;
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -39,7 +39,9 @@
   wire::Seconds delay(const Slot& slot, const wire::JobSpec& s) const;
   bool evict_for(const Job& job, Slots& slots);
   bool gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) const;
-  bool within_guarantee(const wire::JobSpec& s) const;
+  /// With one task more of this kind its team would still be within its guarantee.
+  bool within_guarantee(const wire::JobSpec& s);
+  bool open_to_guests(const Slot& slot, const wire::JobSpec& s) const;
   double short_tasks_lack() const;
   void clear_for_short();
 
@@ -54,6 +56,8 @@
   std::uint64_t seen_changes_ = 0;
   std::uint64_t seen_arrivals_ = 0;
   net::Time last_run_{};
+  std::map<std::string, machines::Room> guaranteed_;  ///< what teams with a guarantee use, as of this run
+  bool short_lack_ = false;    ///< while guests wait: so do short tasks of others, as of this run
   bool short_lacked_ = false;  ///< when the last map was sent
   std::map<std::string, net::Time> evict_after_;
 };
