--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -201,7 +201,7 @@
       cheap_jobs.push_back(&s);
       // A guest's work, or such as nobody waits for, is worth no dear machine: 2,400 tasks of a reindexing once had
       // two hundred ordinary ones hired for ten minutes.
-      if (settings_.guest(s.team) || (!s.due && !settings_.expects_finish(s.workload))) continue;
+      if (settings_.yields(s) || (!s.due && !settings_.expects_finish(s.workload))) continue;
       // In time it is with fewer: as many CPUs as its work needs until it should be complete.
       const auto target = jobs::target_of(open, settings_, wall);
       const auto left = std::max(target ? net::to_seconds(*target - wall) : kLateJobTime, s.estimate);
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -66,7 +66,9 @@
   std::sort(waiting.begin(), waiting.end());
   auto free = slots();
   guaranteed_.clear();
-  const bool guests = std::any_of(waiting.begin(), waiting.end(), [&](const auto& w) { return settings_.guest(w.second->open.spec.team); });
+  const bool guests = std::any_of(waiting.begin(), waiting.end(), [&](const auto& w) { return settings_.yields(w.second->open.spec); });
+  const bool yielding = std::any_of(index_.all().begin(), index_.all().end(),
+                                    [&](const auto& j) { return !j.second.ended && settings_.yields(j.second.spec) && registry_.running(j.first) > 0; });
   short_lack_ = guests && short_tasks_lack() > 0;
   std::set<Shape> too_big;  // what one task found no room for, the next of its like need not look for
   for (const auto& [order, job] : waiting) {
@@ -82,7 +84,7 @@
       while (job->todo() > 0 && place_one(*job, fit)) {
       }
     }
-    if ((s.rank < wire::Rank::Urgent && !within_guarantee(s)) || evict_after_.contains(s.uid)) continue;
+    if ((s.rank < wire::Rank::Urgent && (!yielding || settings_.yields(s))) || evict_after_.contains(s.uid)) continue;
     while (job->todo() > 0)
       if (!evict_for(*job, free)) {
         evict_after_[s.uid] = now + kEvictAgain;
@@ -93,7 +95,7 @@
 
 std::vector<Placer::Slot*> Placer::fitting(const Job& job, Slots& slots) {
   const auto need = machines::Room::of(job.open.spec);
-  const bool guest = settings_.guest(job.open.spec.team);
+  const bool guest = settings_.yields(job.open.spec);
   std::vector<Slot*> out;
   for (auto& slot : slots)
     if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
@@ -118,7 +120,7 @@
   const bool aimed = s.due || settings_.expects_finish(s.workload);
   // What cannot be in time any more lets those pass that can; in a backlog everybody would be late otherwise.
   const int rank = static_cast<int>(s.rank);
-  return {s.rank >= wire::Rank::Urgent ? -rank : 0, settings_.guest(s.team), aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
+  return {s.rank >= wire::Rank::Urgent ? -rank : 0, settings_.yields(s), aimed && !target, target.value_or(net::WallTime::max()), -rank, job.open.submitted, s.uid};
 }
 
 /// A machine with a long task is lost to short jobs, and is not given back: while short jobs of others wait for room, and
@@ -128,7 +130,7 @@
   if (!short_lack_ && (r.spot || !s.spot)) return true;
   return std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
     const auto* other = t.exited() ? nullptr : index_.find(t.uid);
-    return other && other->is_long && !settings_.guest(other->spec.team);
+    return other && other->is_long && !settings_.yields(other->spec);
   });
 }
 
@@ -237,10 +239,11 @@
   return true;
 }
 
-/// What a team without a guarantee runs is always beyond its guarantee, and may be stopped to give another team its own.
-bool Placer::gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) const {
-  if (job.rank >= wire::Rank::Urgent && victim.rank < job.rank) return true;
-  return settings_.guest(victim.team) && !settings_.guest(job.team);
+/// Lower rank gives way to urgent work; what yields, to all of higher rank. And what a team without a guarantee runs is
+/// always beyond its guarantee, so that it may be stopped to give another team its own.
+bool Placer::gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) {
+  if (victim.rank < job.rank && (job.rank >= wire::Rank::Urgent || settings_.yields(victim))) return true;
+  return settings_.guest(victim.team) && !settings_.guest(job.team) && within_guarantee(job);
 }
 
 bool Placer::within_guarantee(const wire::JobSpec& s) {
@@ -264,7 +267,7 @@
   const auto wall = runtime_.wall();
   for (const auto& [uid, open] : index_.all()) {
     // What has waited for minutes waits for something else than room: it must not starve the guests as well.
-    if (open.ended || open.is_long || settings_.guest(open.spec.team) || wall - open.submitted > kWaitsForRoom) continue;
+    if (open.ended || open.is_long || settings_.yields(open.spec) || wall - open.submitted > kWaitsForRoom) continue;
     lack += std::min(open.left.value_or(open.spec.tasks), open.unfinished.value_or(open.spec.tasks)) * open.spec.cpus;
   }
   if (lack <= 0) return 0;
@@ -287,7 +290,7 @@
       const auto* job = t.exited() ? nullptr : index_.find(t.uid);
       if (!job || !job->is_long) return true;
       ++count;
-      return settings_.guest(job->spec.team);
+      return settings_.yields(job->spec);
     });
     if (clear) of_guests.emplace_back(count, &view);
   }
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -38,7 +38,7 @@
   wire::Seconds indifference(const std::string& workload) const;
   wire::Seconds delay(const Slot& slot, const wire::JobSpec& s) const;
   bool evict_for(const Job& job, Slots& slots);
-  bool gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) const;
+  bool gives_way(const wire::JobSpec& victim, const wire::JobSpec& job);
   /// With one task more of this kind its team would still be within its guarantee.
   bool within_guarantee(const wire::JobSpec& s);
   bool open_to_guests(const Slot& slot, const wire::JobSpec& s) const;
--- a/src/wire/settings.hpp
+++ b/src/wire/settings.hpp
@@ -66,6 +66,13 @@
     return it != teams.end() && !guaranteed(it->second) &&
            std::any_of(teams.begin(), teams.end(), [&](const auto& t) { return guaranteed(t.second); });
   }
+  /// Work that uses what is free and gives way to all other: a guest's, and such of low rank and no guarantee that
+  /// nobody expects by any time.
+  bool yields(const JobSpec& s) const {
+    const auto it = teams.find(s.team);
+    const bool guaranteed = it != teams.end() && (it->second.cpus > 0 || it->second.accelerators > 0);
+    return guest(s.team) || (!guaranteed && s.rank == Rank::Low && !s.due && !expects_finish(s.workload));
+  }
   /// Users expect this class to be complete within some time.
   bool expects_finish(const std::string& workload) const {
     return std::any_of(objectives.begin(), objectives.end(), [&](const Objective& o) { return o.kind == "finished" && o.workload == workload; });
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -184,6 +184,28 @@
   EXPECT_LT(cluster_.state().handled() - before, 60u);
 }
 
+// Where no team has a guarantee, work of low rank that nobody expects by any time gives way to that of higher rank.
+TEST(Guests, IdleWorkGivesWayToHigherRank) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  for (const double estimate : {80.0, 10.0}) {
+    World world(4);
+    auto settings = settings_for_tests();
+    settings.teams = {{"red", {}}, {"blue", {}}};
+    Cluster cluster(world, settings, {});
+    cluster.stop_arrivals();
+    cluster.run(5s);
+    cluster.submit(plain_job(cluster, "blue", 400, 400));
+    cluster.run(60s);
+    EXPECT_GT(cluster.rules().starts(), 50u);
+    auto spec = plain_job(cluster, "red", 10, estimate);
+    spec.rank = wire::Rank::Standard;
+    cluster.submit(spec);
+    cluster.run(seconds(2 * estimate + 25));
+    EXPECT_EQ(broken(cluster.rules()), "");
+    for (const auto& uid : cluster.unfinished()) EXPECT_NE(uid, spec.uid) << "estimate " << estimate;
+  }
+}
+
 /// The checks themselves: each planted violation must be caught, and a good day must not be.
 class PlantedViolation : public testing::Test {
  protected:
