--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -244,13 +244,18 @@
   auto connection = std::make_shared<Connection>(*this);
   open_.push_back(connection);
   if (!connection->accept(reinterpret_cast<uv_stream_t*>(listener_.get()))) return connection->close();
-  if (open_.size() > max_connections_) {
-    // Out of our own allowance: the connection idle for longest makes room, else the newcomer goes.
-    std::shared_ptr<Connection> victim = connection;
-    for (auto& c : open_)
-      if (c->idle() && !c->closing() && c->since() < victim->since()) victim = c;
-    victim->close();
+  if (open_.size() <= max_connections_) return;
+  // Out of our own allowance: the connection idle for longest makes room, else the newcomer goes. Those that are closing
+  // already count no more, and one that came in the same turn of the loop is as good a victim as an older one: a burst of
+  // silent connections once kept out all that came after it.
+  std::size_t open = 0;
+  std::shared_ptr<Connection> victim;
+  for (auto& c : open_) {
+    if (c->closing()) continue;
+    ++open;
+    if (c != connection && c->idle() && (!victim || c->since() < victim->since())) victim = c;
   }
+  if (open > max_connections_) (victim ? victim : connection)->close();
 }
 
 void HttpServer::sweep() {
