--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -20,7 +20,6 @@
 constexpr auto kStarved = 4s;        ///< a long job that waits for longer gets machines where it may go
 constexpr auto kLateFor = 10s;         ///< arrays must have lacked machines for this long before dear ones are hired
 constexpr wire::Seconds kLateJobTime{300};  ///< a job that is late already should be over in this time
-constexpr double kSpareShare = 0.06;  ///< ordinary machines beyond what is needed now
 constexpr double kDrainSlack = 0.1;   ///< working machines are drained only beyond this much of the need
 constexpr std::size_t kDrainPart = 50;  ///< and so much of the fleet at a time
 constexpr std::size_t kMaxHires = 6;
@@ -220,7 +219,7 @@
   double total = anywhere;
   for (const auto& [zone, cpus] : out.firm) total += cpus;
   // Room for what comes next and for the loss of a machine: in each zone, since services may not all go to one.
-  if (total > 0) anywhere += total * kSpareShare + largest / 2;
+  if (total > 0) anywhere += total * jobs::kServiceSpare + largest / 2;
   for (const auto& zone : zones) out.firm[zone] += anywhere / static_cast<double>(zones.size());
   return out;
 }
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -530,7 +530,7 @@
     // in the end its probe may wait behind long tasks.
     if (stage < machines::kLastResort)
       std::erase_if(from, [&](const std::string& name) {
-        return stage == 1 ? map.with_long.contains(name) : !map.short_part.contains(name);
+        return stage == 1 ? map.with_long.contains(name) || map.kept_free.contains(name) : !map.short_part.contains(name);
       });
     const auto chosen = sched::draw(std::move(from), count, runtime_.random());
     count -= chosen.size();
@@ -557,10 +557,11 @@
 void Book::on_rejected(const Tag&, const json& m) {
   auto* job = find(m.at("uid").get<std::string>());
   if (auto newer = m.find("map"); newer != m.end()) {
-    machines::LongMap map{newer->at(0).get<std::uint64_t>(), newer->at(1).get<std::uint64_t>(), {}, {}};
+    machines::LongMap map{newer->at(0).get<std::uint64_t>(), newer->at(1).get<std::uint64_t>(), {}, {}, {}};
     if (map.fresher_than(registry_.long_map())) {
       map.with_long = m.at("with_long").get<std::set<std::string>>();
       map.short_part = m.at("short_part").get<std::set<std::string>>();
+      map.kept_free = m.at("kept_free").get<std::set<std::string>>();
       registry_.long_map() = std::move(map);
     }
   }
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -25,6 +25,7 @@
     if (!map.fresher_than(registry_.long_map())) return;
     map.with_long = m.at("with_long").get<std::set<std::string>>();
     map.short_part = m.at("short_part").get<std::set<std::string>>();
+    map.kept_free = m.at("kept_free").get<std::set<std::string>>();
     registry_.long_map() = std::move(map);
     registry_.set_closed(m.at("closed").get<std::set<std::string>>());
   });
@@ -307,6 +308,46 @@
   }
 }
 
+/// Ordinary machines are hired beyond what services need, for those to come. Short tasks took that room at once, and nearly
+/// each new replica had some of them stopped: in each zone as much is kept free as was meant to be, machines that are kept
+/// already first, then those that have the least to finish.
+std::set<std::string> Placer::keep_free(const machines::LongMap& map) const {
+  struct Zone {
+    double services = 0;
+    double free = 0;
+    double largest = 0;
+    std::vector<std::tuple<bool, std::size_t, std::string, double>> empty;
+  };
+  std::map<std::string, Zone> zones;
+  bool spot = false;
+  for (const auto& [name, view] : registry_.views()) {
+    const auto& r = view.report;
+    const auto* type = registry_.type(r.type);
+    spot = spot || r.spot;
+    if (!type || r.spot || !view.takes_work() || map.short_part.contains(name)) continue;
+    auto& zone = zones[r.zone];
+    zone.largest = std::max(zone.largest, type->cpus);
+    if (map.with_long.contains(name)) {
+      zone.services += type->cpus;
+      zone.free += registry_.reported_room(view).cpus;
+    } else {
+      zone.empty.emplace_back(!registry_.long_map().kept_free.contains(name), r.tasks.size(), name, type->cpus);
+    }
+  }
+  std::set<std::string> out;
+  if (!spot) return out;  // short jobs have no other place
+  for (auto& [name, zone] : zones) {
+    if (zone.services <= 0) continue;
+    std::sort(zone.empty.begin(), zone.empty.end());
+    for (const auto& [fresh, tasks, machine, cpus] : zone.empty) {
+      if (zone.free >= zone.services * kServiceSpare + zone.largest / 2) break;
+      zone.free += cpus;
+      out.insert(machine);
+    }
+  }
+  return out;
+}
+
 void Placer::send_map() {
   if (!membership_.leads()) return;
   clear_for_short();
@@ -323,8 +364,9 @@
   }
   const auto chosen = sched::choose_short_part(std::move(machines), settings_.tuning.short_share);
   map.short_part = {chosen.begin(), chosen.end()};
+  map.kept_free = keep_free(map);
   const json message{{"generation", map.generation}, {"serial", map.serial}, {"with_long", map.with_long},
-                     {"short_part", map.short_part}, {"closed", registry_.all_closed()}};
+                     {"short_part", map.short_part}, {"kept_free", map.kept_free}, {"closed", registry_.all_closed()}};
   registry_.long_map() = std::move(map);
   router_.broadcast("map", message);
 }
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -3,6 +3,9 @@
 #include "sched/placement.hpp"
 
 namespace limemast::jobs {
+/// Ordinary machines beyond what services need now, as a share of that.
+constexpr double kServiceSpare = 0.06;
+
 /// When the job should be complete: its own deadline, or the nearest of its class's aims that it can still meet.
 std::optional<net::WallTime> target_of(const OpenJob& job, const wire::Settings& settings, net::WallTime now);
 
@@ -44,6 +47,7 @@
   bool open_to_guests(const Slot& slot, const wire::JobSpec& s) const;
   double short_tasks_lack() const;
   void clear_for_short();
+  std::set<std::string> keep_free(const machines::LongMap& map) const;
 
   net::Runtime& runtime_;
   const wire::Settings& settings_;
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -127,6 +127,8 @@
 void Host::tick() {
   registry_.awake(runtime_.now());
   json machines = json::array();
+  for (const auto& name : registry_.long_map().kept_free)
+    if (auto it = hosted_.find(name); it != hosted_.end()) drop_probes(name, it->second);
   for (auto& [name, h] : hosted_) {
     if (!std::exchange(h.heard_lately, false) || !ours(name)) continue;
     machines.insert(machines.end(), {json(name), json(h.told_tenure), json(h.told_tick)});
@@ -392,7 +394,7 @@
       const auto* job = jobs_.find(d.order.uid);
       return job && job->is_long;
     });
-    if (stage < kLastResort && (long_coming || registry_.holds_long(*view)))
+    if (stage < kLastResort && (long_coming || registry_.holds_long(*view) || registry_.long_map().kept_free.contains(machine)))
       behind_long.push_back(machine);
     else if (!add_probe(machine, probe))
       otherwise.push_back(machine);
@@ -403,11 +405,12 @@
   const auto& map = registry_.long_map();
   json answer{{"uid", uid}, {"stage", stage}, {"long", behind_long}, {"other", otherwise}};
   // The map goes along where the owner's is older: at a thousand machines it outweighs all else that is said.
-  const LongMap theirs{m.at("map").at(0).get<std::uint64_t>(), m.at("map").at(1).get<std::uint64_t>(), {}, {}};
+  const LongMap theirs{m.at("map").at(0).get<std::uint64_t>(), m.at("map").at(1).get<std::uint64_t>(), {}, {}, {}};
   if (!behind_long.empty() && map.fresher_than(theirs)) {
     answer["map"] = {map.generation, map.serial};
     answer["with_long"] = map.with_long;
     answer["short_part"] = map.short_part;
+    answer["kept_free"] = map.kept_free;
   }
   router_.send(from, "rejected", std::move(answer));
 }
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -54,6 +54,7 @@
   std::uint64_t serial = 0;
   std::set<std::string> with_long;
   std::set<std::string> short_part;
+  std::set<std::string> kept_free;  ///< for services: short jobs shun them as if they held a long task
   bool fresher_than(const LongMap& o) const {
     return generation != o.generation ? generation > o.generation : serial > o.serial;
   }
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -103,6 +103,7 @@
       cluster.submit(spec);
     }
     cluster.run(40s);
+    for (int i = 0; i < 20 && !cluster.unfinished().empty(); ++i) cluster.run(5s);  // the one job that came by itself
     const auto starts = cluster.rules().starts();
     EXPECT_GE(starts, 12u);
     cluster.freeze(cluster.leader(), 18s);
@@ -135,6 +136,43 @@
   }
 }
 
+// Short tasks took the room that ordinary machines had for services to come, and nearly each new replica had some stopped.
+TEST(KeptFree, NewReplicasStopNoShortTasks) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  World world(5);
+  auto settings = settings_for_tests();
+  settings.teams = {{"red", {}}, {"blue", {}}};
+  Cluster cluster(world, settings, {});
+  cluster.stop_arrivals();
+  cluster.run(60s);
+  for (int i = 0; i < 20 && !cluster.unfinished().empty(); ++i) cluster.run(5s);
+  auto replica = plain_job(cluster, "blue", 1, 0);
+  replica.service = true;
+  replica.spot = false;
+  replica.cpus = 8;
+  replica.rank = wire::Rank::Production;
+  const auto submit_replica = [&] {
+    replica.uid = cluster.random_job().uid;
+    cluster.submit(replica);
+  };
+  for (int i = 0; i < 8; ++i) submit_replica();
+  cluster.run(30s);
+  auto array = plain_job(cluster, "red", 300, 15);
+  array.rank = wire::Rank::Standard;
+  const auto before = cluster.rules().starts();
+  cluster.submit(array);
+  std::size_t replicas = 0;
+  for (; replicas < 6; ++replicas) {
+    cluster.run(15s);
+    submit_replica();
+  }
+  for (int i = 0; i < 60 && !cluster.unfinished().empty(); ++i) cluster.run(5s);
+  EXPECT_TRUE(cluster.unfinished().empty());
+  EXPECT_EQ(broken(cluster.rules()), "");
+  // Three are stopped still, where two replicas come before the next map; 16 were.
+  EXPECT_LE(cluster.rules().starts() - before, array.tasks + replicas + 5);
+}
+
 class Trouble : public testing::Test {
  protected:
   void SetUp() override { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
