--- a/src/wire/settings.hpp
+++ b/src/wire/settings.hpp
@@ -24,7 +24,7 @@
 
 /// Operators' own choices (TOML); the defaults are the design's starting values.
 struct Tuning {
-  double short_share = 0.17;         ///< share of machines that take no long tasks
+  double short_share = 0.08;         ///< share of machines that take no long tasks
   Seconds long_threshold{60};        ///< a job is long if its tasks average more
   std::uint32_t min_probes = 4;      ///< K: the fewest probes a job sends
   double bypass_cap = 5;             ///< how often its own estimate a probe may be passed by
