--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -239,7 +239,7 @@
     cluster.submit(plain_job(cluster, "blue", 400, 400));
     cluster.run(60s);
     EXPECT_GT(cluster.rules().starts(), 50u);
-    auto spec = plain_job(cluster, "red", 10, estimate);
+    auto spec = plain_job(cluster, "red", 40, estimate);
     spec.rank = wire::Rank::Standard;
     cluster.submit(spec);
     cluster.run(seconds(2 * estimate + 25));
