--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -236,8 +236,8 @@
     Cluster cluster(world, settings, {});
     cluster.stop_arrivals();
     cluster.run(5s);
-    cluster.submit(plain_job(cluster, "blue", 400, 400));
-    cluster.run(60s);
+    cluster.submit(plain_job(cluster, "blue", 600, 600));
+    cluster.run(120s);
     EXPECT_GT(cluster.rules().starts(), 50u);
     auto spec = plain_job(cluster, "red", 40, estimate);
     spec.rank = wire::Rank::Standard;
