--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -18,10 +18,18 @@
   return out;
 }
 
+/// Silent, unless somebody looks into a failure.
+void set_log_level() { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
+
+/// Waits for the one job that comes by itself at the start of each simulated day.
+void finish_first_job(Cluster& cluster) {
+  for (int i = 0; i < 20 && !cluster.unfinished().empty(); ++i) cluster.run(5s);
+}
+
 /// Random days: the rules are checked after every step, and what was accepted is done once the troubles end.
 class RandomDay : public testing::TestWithParam<std::uint64_t> {
  protected:
-  void SetUp() override { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
+  void SetUp() override { set_log_level(); }
 };
 
 TEST_P(RandomDay, RulesHoldAndWorkFinishes) {
@@ -50,7 +58,7 @@
 
 // Each task of a gang had an attempt of its own, so that none ever met the others.
 TEST(Gang, RunsTogether) {
-  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  set_log_level();
   World world(1);
   Cluster cluster(world, settings_for_tests(), {});
   cluster.stop_arrivals();
@@ -87,7 +95,7 @@
 // A leader that stood still for longer than a lease, yet not past its grant, took all machines for dead on waking and
 // gave them back, with what ran there.
 TEST(Freeze, LeaderGivesNothingBackOnWaking) {
-  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  set_log_level();
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     World world(seed);
     auto settings = settings_for_tests();
@@ -103,7 +111,7 @@
       cluster.submit(spec);
     }
     cluster.run(40s);
-    for (int i = 0; i < 20 && !cluster.unfinished().empty(); ++i) cluster.run(5s);  // the one job that came by itself
+    finish_first_job(cluster);
     const auto starts = cluster.rules().starts();
     EXPECT_GE(starts, 12u);
     cluster.freeze(cluster.leader(), 18s);
@@ -115,7 +123,7 @@
 
 // Guests' long tasks had all spot machines for minutes: what a team with a guarantee submitted then waited for their end.
 TEST(Guests, GiveWayToAGuarantee) {
-  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  set_log_level();
   for (const double estimate : {80.0, 10.0}) {
     World world(3);
     Cluster cluster(world, settings_for_tests(), {});
@@ -138,7 +146,7 @@
 
 // Short tasks took the room that ordinary machines had for services to come, and nearly each new replica had some stopped.
 TEST(KeptFree, NewReplicasStopFewShortTasks) {
-  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  set_log_level();
   std::size_t begun_anew = 0;
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     World world(seed);
@@ -148,7 +156,7 @@
     Cluster cluster(world, settings, {});
     cluster.stop_arrivals();
     cluster.run(60s);
-    for (int i = 0; i < 20 && !cluster.unfinished().empty(); ++i) cluster.run(5s);  // the one job that came by itself
+    finish_first_job(cluster);
     auto replica = plain_job(cluster, "blue", 1, 0);
     replica.service = true;
     replica.spot = false;
@@ -179,7 +187,7 @@
 
 class Trouble : public testing::Test {
  protected:
-  void SetUp() override { spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off); }
+  void SetUp() override { set_log_level(); }
   int ready(std::size_t node) {
     int status = 0;
     cluster_.ask(node, {"GET", "/ready", {}}, [&](net::HttpResponse r) { status = r.status; });
@@ -228,7 +236,7 @@
 
 // Where no team has a guarantee, work of low rank that nobody expects by any time gives way to that of higher rank.
 TEST(Guests, IdleWorkGivesWayToHigherRank) {
-  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  set_log_level();
   for (const double estimate : {80.0, 10.0}) {
     World world(4);
     auto settings = settings_for_tests();
