--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -127,9 +127,12 @@
 void Host::tick() {
   registry_.awake(runtime_.now());
   json machines = json::array();
-  for (const auto& [name, view] : registry_.views())
+  // Probes that came before the drain did.
+  for (const auto& [name, view] : registry_.views()) {
+    if (!registry_.draining()) break;
     if (view.drained && view.host == membership_.self())
       if (auto it = hosted_.find(name); it != hosted_.end() && !it->second.probes.empty()) drop_probes(name, it->second);
+  }
   for (const auto& name : registry_.long_map().kept_free)
     if (auto it = hosted_.find(name); it != hosted_.end()) drop_probes(name, it->second);
   for (auto& [name, h] : hosted_) {
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -129,6 +129,7 @@
   bool drained(const std::string& machine, const std::string& zone) const {
     return drained_machines_.contains(machine) || drained_zones_.contains(zone);
   }
+  bool draining() const { return !drained_machines_.empty() || !drained_zones_.empty(); }
   bool zone_drained(const std::string& zone) const { return drained_zones_.contains(zone); }
   /// As the leader last said.
   const std::vector<Coming>& coming() const { return coming_; }
--- /dev/null
+++ b/tests/bench/insight_bench.cpp
@@ -0,0 +1,71 @@
+// What knowing why jobs wait costs: a single event at growing queues, and a whole deployment with the operators' interface on and
+// off. Not part of CI: the figures stand in docs/notes/console.md.
+#include <benchmark/benchmark.h>
+#include <spdlog/spdlog.h>
+
+#include "operate/console_cluster.hpp"
+
+namespace limemast {
+namespace {
+using namespace standins;
+
+std::string uid_of(std::size_t i) {
+  char text[16];
+  std::snprintf(text, sizeof text, "wk-%06zu", i);
+  return text;
+}
+
+/// One job of `range` moves in its line and changes its cause.
+void BM_Event(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  insight::Ledger ledger(true);
+  std::vector<std::string> uids;
+  for (std::size_t i = 0; i < n; ++i) {
+    uids.push_back(uid_of(i));
+    ledger.note(uids.back(), insight::Cause::Room, 10, World::start());
+    ledger.placement().put(uids.back(), {static_cast<std::int64_t>(i), 0, 0, 0, 0, 0});
+  }
+  std::mt19937_64 random(1);
+  std::int64_t step = 0;
+  for (auto _ : state) {
+    const auto& uid = uids[random() % n];
+    ledger.note(uid, ++step % 2 ? insight::Cause::Drain : insight::Cause::Room, 10, World::start() + std::chrono::milliseconds(step));
+    ledger.placement().put(uid, {static_cast<std::int64_t>(random() % n), 0, 0, 0, 0, 0});
+    benchmark::DoNotOptimize(ledger.placement().place(uid));
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(BM_Event)->RangeMultiplier(10)->Range(100, 100'000)->Complexity(benchmark::oLogN);
+
+/// A second of three controllers with 10,000 waiting jobs of ten tasks each; 0: interface off, 1: on, 2: on and asked ten times.
+void BM_QueueSecond(benchmark::State& state) {
+  spdlog::set_level(spdlog::level::off);
+  World world(3);
+  auto settings = settings_with_operators();
+  settings.operators.enabled = state.range(0) > 0;
+  settings.operators.rehearse_per_s = state.range(0) == 2 ? 10 : 0;
+  settings.state_rps = 5'000;
+  settings.state_write_rps = 5'000;
+  Cluster cluster(world, settings, {.lambda_s = 6, .scripted = true});
+  cluster.stop_arrivals();
+  cluster.run(10s);
+  for (std::size_t i = 0; i < 10'000; ++i) {
+    auto s = cluster.random_job();
+    s.team = "red";
+    s.service = s.spread = s.one_zone = s.spot = false;
+    s.tasks = 10;
+    s.cpus = 4;
+    s.zone.reset();
+    s.types.reset();
+    s.estimate = wire::Seconds(5000);
+    cluster.submit(s);
+    if (i % 100 == 99) cluster.run(200ms);
+  }
+  cluster.run(30s);
+  for (auto _ : state) cluster.run(1s);
+  state.counters["waiting"] = static_cast<double>(cluster.node(cluster.leader())->ledger().size());
+}
+BENCHMARK(BM_QueueSecond)->Arg(0)->Arg(1)->Arg(2)->Unit(benchmark::kMillisecond)->Iterations(20);
+}  // namespace
+}  // namespace limemast
+BENCHMARK_MAIN();
