--- a/src/insight/cause.cpp
+++ b/src/insight/cause.cpp
@@ -9,6 +9,7 @@
     case Cause::Room: return "room";
     case Cause::HigherRank: return "higher_rank";
     case Cause::ShortPart: return "short_part";
+    case Cause::BesideLong: return "beside_long";
     case Cause::TeamLimit: return "team_limit";
     case Cause::OthersGuarantee: return "others_guarantee";
     case Cause::ZoneRule: return "zone_rule";
@@ -30,6 +31,7 @@
     case Cause::Room: return "machines it may use are full";
     case Cause::HigherRank: return "behind work of higher rank";
     case Cause::ShortPart: return "machines with room are kept for short jobs";
+    case Cause::BesideLong: return "the only room is beside long tasks, which short ones shun";
     case Cause::TeamLimit: return "its team uses all that it may";
     case Cause::OthersGuarantee: return "room is left to teams with a guarantee";
     case Cause::ZoneRule: return "its rule about zones allows none with room";
--- a/src/insight/cause.hpp
+++ b/src/insight/cause.hpp
@@ -12,6 +12,7 @@
   Room,             ///< such machines are full of work of its own standing or below
   HigherRank,       ///< what fills them, or what they are kept free for, ranks above it
   ShortPart,        ///< the only room is on machines that long tasks leave to short jobs (Eagle's short part)
+  BesideLong,       ///< the only room is beside long tasks, which short ones shun (Eagle)
   TeamLimit,        ///< its team uses all that it may
   OthersGuarantee,  ///< room that a team without a guarantee must leave to those that have one
   ZoneRule,         ///< there is room, but not in a zone where its spread or its one zone allows another task
--- a/src/insight/terrain.cpp
+++ b/src/insight/terrain.cpp
@@ -37,6 +37,10 @@
       zone.short_part = true;
       continue;
     }
+    if (fits && !is_long && (registry_.holds_long(view) || registry_.long_map().kept_free.contains(name))) {
+      (registry_.holds_long(view) ? zone.beside_long : zone.kept_free) = true;
+      continue;
+    }
     if (fits) {
       (yields ? zone.guarded : zone.room) = true;
       continue;
@@ -87,7 +91,7 @@
     if (s.spread && count + 1 > s.zone_cap()) return false;
     return !s.one_zone || count > 0 || std::all_of(zones.begin(), zones.end(), [](const auto& z) { return z.second == 0; });
   };
-  bool room = false, guarded = false, short_part = false, drained = false, ruled_out = false, below = false, full = false;
+  bool room = false, guarded = false, short_part = false, beside_long = false, drained = false, ruled_out = false, below = false, full = false;
   Verdict out;
   for (const auto& [name, zone] : seen.zones) {
     if (!open_zone(name)) {
@@ -97,8 +101,9 @@
     room = room || zone.room;
     guarded = guarded || zone.guarded;
     short_part = short_part || zone.short_part;
+    beside_long = beside_long || zone.beside_long;
     drained = drained || zone.drained_room;
-    below = below || zone.below_others;
+    below = below || zone.below_others || zone.kept_free;
     full = full || zone.full;
     if (zone.coming && (!out.until || *zone.coming < *out.until)) out.until = zone.coming;
   }
@@ -109,6 +114,7 @@
   else if (guarded) out.cause = Cause::OthersGuarantee;
   else if (ruled_out) out.cause = Cause::ZoneRule;
   else if (short_part) out.cause = Cause::ShortPart;
+  else if (beside_long) out.cause = Cause::BesideLong;
   else if (below) out.cause = Cause::HigherRank;
   else out.cause = full ? Cause::Room : Cause::NoMachine;
   if (out.cause != Cause::Booting) out.until.reset();
--- a/src/insight/terrain.hpp
+++ b/src/insight/terrain.hpp
@@ -30,6 +30,8 @@
   struct Zone {
     bool room = false;          ///< a machine that takes work has room for a task
     bool guarded = false;       ///< one has, but not for work that yields
+    bool beside_long = false;   ///< one that holds long tasks has, and the job is short
+    bool kept_free = false;     ///< one kept for services to come has, and the job is short
     bool short_part = false;    ///< one of the short part has, and the job is long
     bool drained_room = false;  ///< one that is drained has
     bool full = false;          ///< machines of the kind are there
