--- a/src/jobs/budgets.cpp
+++ b/src/jobs/budgets.cpp
@@ -9,7 +9,7 @@
 constexpr auto kAskPause = 50ms;
 constexpr double kBoundless = 1e15;
 constexpr double kAtLeast = 8;  ///< tasks asked for together: saves a round trip each
-constexpr double kAtOnce = 32;
+constexpr double kAtOnce = 1.0 / 16;  ///< of the limit that is asked for and not in use yet, by one holder
 
 json to_json(const Room& r) { return {r.cpus, r.accelerators}; }
 Room from_json(const json& j) { return {j.at(0).get<double>(), 0, j.at(1).get<double>()}; }
@@ -38,14 +38,14 @@
   Room free = l.held;
   free -= l.used;
   if (free.fits(without_ram(need))) return true;
-  // All that waits is asked for together: in steps of some tasks a cold start of a thousand took half a minute. Yet no more than
-  // kAtOnce tasks and half of what is in use already, since what one holder has asked for and finds no machine for is kept from
-  // the others.
+  // All that waits is asked for together: in steps of some tasks a cold start of a thousand took half a minute. Yet no more than a
+  // part of the limit at once: what one holder has asked for and finds no machine for is kept from the others.
   const auto expected = expected_.find(team);
-  auto more = [&](double use, double one, double all) { return use + std::max(kAtLeast * one, std::min(std::max(all, waiting * one), kAtOnce * one + use / 2)); };
-  l.wanted.cpus = std::max(l.wanted.cpus, more(l.used.cpus, need.cpus, expected == expected_.end() ? 0 : expected->second.cpus));
+  const auto most = limit(team);
+  auto more = [&](double use, double one, double all, double of) { return use + std::max(kAtLeast * one, std::min(std::max(all, waiting * one), of * kAtOnce)); };
+  l.wanted.cpus = std::max(l.wanted.cpus, more(l.used.cpus, need.cpus, expected == expected_.end() ? 0 : expected->second.cpus, most.cpus));
   l.wanted.accelerators =
-      std::max(l.wanted.accelerators, more(l.used.accelerators, need.accelerators, expected == expected_.end() ? 0 : expected->second.accelerators));
+      std::max(l.wanted.accelerators, more(l.used.accelerators, need.accelerators, expected == expected_.end() ? 0 : expected->second.accelerators, most.accelerators));
   if (runtime_.now() - last_told_ > kAskPause) tell_leader();
   return false;
 }
