--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -89,8 +89,6 @@
   const bool yielding = std::any_of(index_.all().begin(), index_.all().end(),
                                     [&](const auto& j) { return !j.second.ended && settings_.yields(j.second.spec) && registry_.running(j.first) > 0; });
   short_lack_ = guests && short_tasks_lack() > 0;
-  const bool low = std::any_of(waiting.begin(), waiting.end(), [&](const auto& w) { return w.second->open.spec.rank == wire::Rank::Low; });
-  short_lack_of_higher_ = low && short_tasks_lack(wire::Rank::Low) > 0;
   std::set<Shape> too_big;  // what one task found no room for, the next of its like need not look for
   for (const auto& [order, job] : waiting) {
     const auto& s = job->open.spec;
@@ -98,7 +96,7 @@
       place_gang(*job, free);
       continue;
     }
-    const Shape shape{s.spot, s.rank == wire::Rank::Low, s.cpus, s.ram_gb, s.accelerators, s.zone, s.types};
+    const Shape shape{s.spot, s.cpus, s.ram_gb, s.accelerators, s.zone, s.types};
     if (!too_big.contains(shape)) {
       auto fit = fitting(*job, free);
       if (fit.empty()) too_big.insert(shape);
@@ -133,7 +131,7 @@
   const bool guest = settings_.yields(job.open.spec);
   std::vector<Slot*> out;
   for (auto& slot : slots)
-    if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && (job.open.spec.rank != wire::Rank::Low || open_to_low(slot)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
+    if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
   return out;
 }
 
@@ -169,12 +167,6 @@
   });
 }
 
-/// Short tasks shun machines with long ones: each machine that a long task of low rank is first on is lost to them. While short
-/// tasks of higher rank lack room, those of low rank go only where long tasks are already.
-bool Placer::open_to_low(const Slot& slot) const {
-  return !short_lack_of_higher_ || registry_.holds_long(*slot.view) || book_.has_long(slot.view->report.machine);
-}
-
 void Placer::place_gang(const Job& job, Slots& slots) {
   // All of them or none: a gang that holds machines while it waits for its last task wastes them. One zone is tried
   // after the other if the gang must stay in one.
@@ -303,12 +295,11 @@
 }
 
 /// CPUs that waiting short tasks ask for beyond what is free on machines without long tasks; guests' tasks wait.
-double Placer::short_tasks_lack(std::optional<wire::Rank> above) const {
+double Placer::short_tasks_lack() const {
   double lack = 0;
   const auto wall = runtime_.wall();
   for (const auto& [uid, open] : index_.all()) {
     // What has waited for minutes waits for something else than room: it must not starve the guests as well.
-    if (above && open.spec.rank <= *above) continue;
     if (open.ended || open.is_long || settings_.yields(open.spec) || wall - open.submitted > kWaitsForRoom) continue;
     lack += std::min(open.left.value_or(open.spec.tasks), open.unfinished.value_or(open.spec.tasks)) * open.spec.cpus;
   }
--- a/src/jobs/placer.hpp
+++ b/src/jobs/placer.hpp
@@ -33,7 +33,7 @@
 
  private:
   /// All that decides which machines a task fits on, but for what else of its job runs where.
-  using Shape = std::tuple<bool, bool, double, double, double, std::optional<std::string>, std::optional<std::vector<std::string>>>;
+  using Shape = std::tuple<bool, double, double, double, std::optional<std::string>, std::optional<std::vector<std::string>>>;
   /// Urgent work first, then what can still be in time, by deadline; guests' work after all else.
   using Order = std::tuple<int, bool, bool, net::WallTime, int, net::WallTime, std::string>;
   Order order_of(const Job& job, net::WallTime now) const;
@@ -48,9 +48,7 @@
   /// With one task more of this kind its team would still be within its guarantee.
   bool within_guarantee(const wire::JobSpec& s);
   bool open_to_guests(const Slot& slot, const wire::JobSpec& s) const;
-  bool open_to_low(const Slot& slot) const;
-  /// `above`: only of ranks above this one.
-  double short_tasks_lack(std::optional<wire::Rank> above = std::nullopt) const;
+  double short_tasks_lack() const;
   void clear_for_short();
   std::set<std::string> keep_free(const machines::LongMap& map) const;
 
@@ -68,7 +66,6 @@
   net::Time last_run_{};
   std::map<std::string, machines::Room> guaranteed_;  ///< what teams with a guarantee use, as of this run
   bool short_lack_ = false;    ///< while guests wait: so do short tasks of others, as of this run
-  bool short_lack_of_higher_ = false;  ///< while long tasks of low rank wait: short tasks of higher rank do too, as of this run
   bool short_lacked_ = false;  ///< when the last map was sent
   std::map<std::string, net::Time> evict_after_;
 };
