--- a/src/insight/terrain.cpp
+++ b/src/insight/terrain.cpp
@@ -1,12 +1,22 @@
 #include "insight/terrain.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limemast::insight {
 namespace {
 using namespace std::chrono_literals;
 using machines::Room;
 constexpr auto kLookAgain = 1s;
+constexpr double kFew = 0.25;  ///< of the waiting tasks: where no more have room, that is not why the rest waits
+
+double tasks_in(const Room& room, const Room& need) {
+  double n = 1e9;
+  if (need.cpus > 0) n = std::min(n, (room.cpus + Room::kSlack) / need.cpus);
+  if (need.ram_gb > 0) n = std::min(n, (room.ram_gb + Room::kSlack) / need.ram_gb);
+  if (need.accelerators > 0) n = std::min(n, (room.accelerators + Room::kSlack) / need.accelerators);
+  return std::floor(n);
+}
 constexpr std::size_t kMaxLooks = 256;  ///< kinds of jobs remembered; more are looked at anew
 }  // namespace
 
@@ -42,7 +52,7 @@
       continue;
     }
     if (fits) {
-      (yields ? zone.guarded : zone.room) = true;
+      (yields ? zone.guarded : zone.room) += tasks_in(registry_.reported_room(view), need);
       continue;
     }
     if (zone.below_others) continue;
@@ -83,7 +93,7 @@
   return (t.cpus_max > 0 && with.cpus > t.cpus_max) || (t.accelerators_max > 0 && with.accelerators > t.accelerators_max);
 }
 
-Terrain::Verdict Terrain::judge(const wire::JobSpec& s, bool is_long, const std::map<std::string, std::uint32_t>& zones, bool failed, net::Time now) {
+Terrain::Verdict Terrain::judge(const wire::JobSpec& s, bool is_long, std::uint32_t waiting, const std::map<std::string, std::uint32_t>& zones, bool failed, net::Time now) {
   const auto& seen = look(s, is_long, now);
   auto open_zone = [&](const std::string& zone) {
     const auto here = zones.find(zone);
@@ -91,15 +101,16 @@
     if (s.spread && count + 1 > s.zone_cap()) return false;
     return !s.one_zone || count > 0 || std::all_of(zones.begin(), zones.end(), [](const auto& z) { return z.second == 0; });
   };
-  bool room = false, guarded = false, short_part = false, beside_long = false, drained = false, ruled_out = false, below = false, full = false;
+  double room = 0;
+  bool guarded = false, short_part = false, beside_long = false, drained = false, ruled_out = false, below = false, full = false;
   Verdict out;
   for (const auto& [name, zone] : seen.zones) {
     if (!open_zone(name)) {
-      ruled_out = ruled_out || zone.room || zone.guarded || zone.short_part;
+      ruled_out = ruled_out || zone.room > 0 || zone.guarded > 0 || zone.short_part;
       continue;
     }
-    room = room || zone.room;
-    guarded = guarded || zone.guarded;
+    room += zone.room;
+    guarded = guarded || zone.guarded > 0;
     short_part = short_part || zone.short_part;
     beside_long = beside_long || zone.beside_long;
     drained = drained || zone.drained_room;
@@ -108,7 +119,7 @@
     if (zone.coming && (!out.until || *zone.coming < *out.until)) out.until = zone.coming;
   }
   // The obstacle whose end is nearest is named; of those that an operator can lift, before those that nobody can.
-  if (room) out.cause = failed ? Cause::BackingOff : Cause::Placing;
+  if (room > 0 && room >= waiting * kFew) out.cause = failed ? Cause::BackingOff : Cause::Placing;
   else if (drained) out.cause = Cause::Drain;
   else if (out.until) out.cause = Cause::Booting;
   else if (guarded) out.cause = Cause::OthersGuarantee;
--- a/src/insight/terrain.hpp
+++ b/src/insight/terrain.hpp
@@ -17,8 +17,9 @@
     Cause cause = Cause::Placing;
     std::optional<net::Time> until;
   };
+  /// `waiting`: tasks that wait. Room for few of many is no reason for the others: what keeps those is named.
   /// `zones`: how many of the job's tasks are in each zone already. `failed`: it has failed on some machine of late.
-  Verdict judge(const wire::JobSpec& spec, bool is_long, const std::map<std::string, std::uint32_t>& zones, bool failed, net::Time now);
+  Verdict judge(const wire::JobSpec& spec, bool is_long, std::uint32_t waiting, const std::map<std::string, std::uint32_t>& zones, bool failed, net::Time now);
   /// The team could not use this much more, whatever room there is.
   bool at_limit(const wire::JobSpec& spec, net::Time now);
   /// What each team's running tasks use, as of the last look.
@@ -28,8 +29,8 @@
   /// All that decides for which machines a job is like another.
   using Like = std::tuple<bool, double, double, double, std::optional<std::string>, std::optional<std::vector<std::string>>, int, bool, bool>;
   struct Zone {
-    bool room = false;          ///< a machine that takes work has room for a task
-    bool guarded = false;       ///< one has, but not for work that yields
+    double room = 0;            ///< for so many tasks machines that take work have room
+    double guarded = 0;         ///< the same, but not for work that yields
     bool beside_long = false;   ///< one that holds long tasks has, and the job is short
     bool kept_free = false;     ///< one kept for services to come has, and the job is short
     bool short_part = false;    ///< one of the short part has, and the job is long
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -536,7 +536,7 @@
   if (const auto held = held_by(job))
     return ledger_.note(s.uid, *held, todo, now, *held == Cause::BackingOff && now < job.not_before ? std::optional(job.not_before) : std::nullopt);
   if (now - job.over_limit < kLimitSeen) return ledger_.note(s.uid, terrain_.at_limit(s, now) ? Cause::TeamLimit : Cause::Placing, todo, now);
-  const auto verdict = terrain_.judge(s, job.open.is_long, job.zones, !job.failed_on.empty(), now);
+  const auto verdict = terrain_.judge(s, job.open.is_long, todo, job.zones, !job.failed_on.empty(), now);
   ledger_.note(s.uid, verdict.cause, todo, now, verdict.until);
 }
 
