--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -535,7 +535,8 @@
   }
   if (const auto held = held_by(job))
     return ledger_.note(s.uid, *held, todo, now, *held == Cause::BackingOff && now < job.not_before ? std::optional(job.not_before) : std::nullopt);
-  if (now - job.over_limit < kLimitSeen) return ledger_.note(s.uid, terrain_.at_limit(s, now) ? Cause::TeamLimit : Cause::Placing, todo, now);
+  // A budget that is refused though the team is below its limit is granted within a moment: that is no cause.
+  if (now - job.over_limit < kLimitSeen && terrain_.at_limit(s, now)) return ledger_.note(s.uid, Cause::TeamLimit, todo, now);
   const auto verdict = terrain_.judge(s, job.open.is_long, todo, job.zones, !job.failed_on.empty(), now);
   ledger_.note(s.uid, verdict.cause, todo, now, verdict.until);
 }
