--- a/tests/operate/causes_test.cpp
+++ b/tests/operate/causes_test.cpp
@@ -1,47 +1,14 @@
 // A state for each cause: the job waits for it, says so, and starts once it is removed.
-#include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
-
-#include <cstdlib>
-
 #include "operate/console_cluster.hpp"
 
 namespace limemast {
 namespace {
 using namespace standins;
 
-class Causes : public testing::Test {
+class Causes : public OperatedCluster {
  protected:
-  Causes() : Causes(settings_with_operators()) {}
-  explicit Causes(wire::Settings settings) : cluster_(world_, std::move(settings), {.scripted = true}) {
-    spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
-    cluster_.stop_arrivals();
-    cluster_.run(5s);
-    // The one job that comes by itself.
-    for (const auto& uid : cluster_.unfinished()) strangers_.insert(uid);
-    for (int i = 0; i < 30 && !cluster_.unfinished().empty(); ++i) cluster_.run(5s);
-  }
-  wire::JobSpec job(const std::string& team, std::uint32_t tasks, double cpus) {
-    auto s = cluster_.random_job();
-    s.team = team;
-    s.service = s.spread = s.one_zone = s.spot = false;
-    s.rank = wire::Rank::Standard;
-    s.tasks = tasks;
-    s.cpus = cpus;
-    s.ram_gb = 1;
-    s.zone.reset();
-    s.types.reset();
-    s.estimate = wire::Seconds(200);
-    return s;
-  }
-  wire::JobSpec service(std::uint32_t tasks, double cpus, const std::string& zone) {
-    auto s = job("red", tasks, cpus);
-    s.service = true;
-    s.rank = wire::Rank::Production;
-    s.estimate = wire::Seconds(0);
-    if (!zone.empty()) s.zone = zone;
-    return s;
-  }
+  Causes() : OperatedCluster(21) {}
+  explicit Causes(wire::Settings settings) : OperatedCluster(21, std::move(settings)) {}
   json look(const std::string& uid, std::size_t node = 0) { return SimApi(cluster_, node).get("jobs/" + uid); }
   std::string cause(const std::string& uid, std::size_t node = 0) {
     const auto j = look(uid, node);
@@ -78,11 +45,6 @@
     }
     EXPECT_EQ(status, 200);
   }
-  void TearDown() override { EXPECT_EQ(broken(cluster_.rules()), ""); }
-
-  World world_{21};
-  Cluster cluster_;
-  std::set<std::string> strangers_;
   std::string seen_;
 };
 
@@ -112,7 +74,7 @@
 TEST_F(NoShortPart, RoomAndHigherRank) {
   // All four small machines of zone a, held by a service; behind it two arrays of the same standing.
   const auto holder = service(4, 8, "a");
-  auto first = job("red", 1, 8);
+  auto first = job(1, 8);
   auto second = first;
   second.uid = cluster_.random_job().uid;
   for (auto* s : {&first, &second}) s->zone = "a";
@@ -153,7 +115,7 @@
   cluster_.submit(s);
   ASSERT_TRUE(comes_to(s.uid, "short_part")) << seen_;
   EXPECT_TRUE(stays(s.uid, "short_part", 10s)) << seen_;
-  auto spot = job("red", 16, 4);
+  auto spot = job(16, 4);
   spot.spot = true;
   spot.estimate = wire::Seconds(30);
   cluster_.submit(spot);
@@ -185,7 +147,7 @@
 TEST_F(NoShortPart, OthersGuarantee) {
   // Spot machines of zone a are all in use; the ordinary one there is kept for services to come, which guests must leave.
   cluster_.run(80s);  // what came for the first job goes back
-  auto spot = job("red", 24, 4);
+  auto spot = job(24, 4);
   spot.spot = true;
   spot.zone = "a";
   cluster_.submit(spot);
@@ -205,7 +167,8 @@
     if (!empty_in_a()) cancel(small.uid);
   }
   ASSERT_TRUE(empty_in_a());
-  auto guest = job("blue", 1, 4);
+  auto guest = job(1, 4);
+  guest.team = "blue";
   guest.spot = true;
   guest.zone = "a";
   cluster_.submit(guest);
@@ -216,7 +179,7 @@
 
 TEST_F(Causes, ZoneRule) {
   // Room beside a service in zone b only, but the array must stay where its first tasks are.
-  auto s = job("red", 10, 4);
+  auto s = job(10, 4);
   s.one_zone = true;
   s.types = {"small"};
   auto beside = service(1, 2, "b");
@@ -246,7 +209,7 @@
 }
 
 TEST_F(Causes, BackingOffAfterFailures) {
-  auto s = job("red", 6, 4);
+  auto s = job(6, 4);
   s.estimate = wire::Seconds(10);
   // Every machine that is up fails what it starts for a while.
   const auto held = service(6, 2, "");
--- a/tests/operate/console_cluster.hpp
+++ b/tests/operate/console_cluster.hpp
@@ -1,4 +1,9 @@
 #pragma once
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
 #include "standins/cluster.hpp"
 #include "tools/tables.hpp"
 
@@ -56,4 +61,41 @@
   for (const auto& [rule, what] : rules.broken()) out += rule + ": " + what + "; ";
   return out;
 }
+
+/// A scripted deployment with the operators' interface on, past the one job that comes by itself; no rule may break in it.
+class OperatedCluster : public testing::Test {
+ protected:
+  explicit OperatedCluster(std::uint64_t seed, wire::Settings settings = settings_with_operators())
+      : world_(seed), cluster_(world_, std::move(settings), {.scripted = true}) {
+    using namespace std::chrono_literals;
+    spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+    cluster_.stop_arrivals();
+    cluster_.run(5s);
+    for (int i = 0; i < 30 && !cluster_.unfinished().empty(); ++i) cluster_.run(5s);
+  }
+  wire::JobSpec job(std::uint32_t tasks, double cpus, const std::string& zone = "", double estimate_s = 200) {
+    auto s = cluster_.random_job();
+    s.team = "red";
+    s.service = s.spread = s.one_zone = s.spot = false;
+    s.rank = wire::Rank::Standard;
+    s.tasks = tasks;
+    s.cpus = cpus;
+    s.ram_gb = 1;
+    s.types.reset();
+    if (zone.empty()) s.zone.reset();
+    else s.zone = zone;
+    s.estimate = wire::Seconds(estimate_s);
+    return s;
+  }
+  wire::JobSpec service(std::uint32_t tasks, double cpus, const std::string& zone = "") {
+    auto s = job(tasks, cpus, zone, 0);
+    s.service = true;
+    s.rank = wire::Rank::Production;
+    return s;
+  }
+  void TearDown() override { EXPECT_EQ(broken(cluster_.rules()), ""); }
+
+  standins::World world_;
+  standins::Cluster cluster_;
+};
 }  // namespace limemast
--- a/tests/operate/drains_test.cpp
+++ b/tests/operate/drains_test.cpp
@@ -1,37 +1,13 @@
 // Drains in whole simulated deployments: nothing runs twice, services move where there is room, a new leader goes on.
-#include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
-
-#include <cstdlib>
-
 #include "operate/console_cluster.hpp"
 
 namespace limemast {
 namespace {
 using namespace standins;
 
-class DrainTest : public testing::Test {
+class DrainTest : public OperatedCluster {
  protected:
-  DrainTest() {
-    spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
-    cluster_.stop_arrivals();
-    cluster_.run(5s);
-    for (int i = 0; i < 30 && !cluster_.unfinished().empty(); ++i) cluster_.run(5s);
-  }
-  wire::JobSpec service(std::uint32_t tasks, double cpus) {
-    auto s = cluster_.random_job();
-    s.team = "red";
-    s.service = true;
-    s.spread = s.one_zone = s.spot = false;
-    s.rank = wire::Rank::Production;
-    s.tasks = tasks;
-    s.cpus = cpus;
-    s.ram_gb = 1;
-    s.zone.reset();
-    s.types.reset();
-    s.estimate = wire::Seconds(0);
-    return s;
-  }
+  DrainTest() : OperatedCluster(5) {}
   json drain(const std::string& id, std::size_t node) {
     const auto all = SimApi(cluster_, node).get("drains");
     if (all.is_object())
@@ -57,10 +33,12 @@
       if (m.value("zone", "") == zone) n += m.value("tasks", 0u);
     return n;
   }
-  void TearDown() override { EXPECT_EQ(broken(cluster_.rules()), ""); }
-
-  World world_{5};
-  Cluster cluster_{world_, settings_with_operators(), {.scripted = true}};
+  std::string fullest_zone() {
+    std::string zone = "a";
+    for (const char* other : {"b", "c"})
+      if (on_zone(other, 0) > on_zone(zone, 0)) zone = other;
+    return zone;
+  }
 };
 
 TEST_F(DrainTest, ServicesLeaveAZoneOneReplicaAtATime) {
@@ -68,9 +46,7 @@
   cluster_.submit(s);
   cluster_.run(60s);
   ASSERT_EQ(running(s.uid, 0), 6u);
-  std::string zone = "a";
-  for (const char* other : {"b", "c"})
-    if (on_zone(other, 0) > on_zone(zone, 0)) zone = other;
+  const auto zone = fullest_zone();
   ASSERT_GT(on_zone(zone, 0), 0u);
   const auto id = "zone/" + zone;
   EXPECT_EQ(SimApi(cluster_, 1).send("PUT", "drains/" + id), 201);
@@ -102,9 +78,7 @@
   cluster_.submit(s);
   cluster_.run(60s);
   ASSERT_EQ(running(s.uid, 0), 8u);
-  std::string zone = "a";
-  for (const char* other : {"b", "c"})
-    if (on_zone(other, 0) > on_zone(zone, 0)) zone = other;
+  const auto zone = fullest_zone();
   const auto id = "zone/" + zone;
   const auto leader = cluster_.leader();
   const auto other = (leader + 1) % 3;
--- a/tests/operate/report_test.cpp
+++ b/tests/operate/report_test.cpp
@@ -1,10 +1,6 @@
 // The report of a scripted state, each line of it against what the stand-ins themselves know.
 #include "tools/report.hpp"
 
-#include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
-
-#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -40,35 +36,9 @@
   return out;
 }
 
-class ReportTest : public testing::Test {
+class ReportTest : public OperatedCluster {
  protected:
-  ReportTest() {
-    spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
-    cluster_.stop_arrivals();
-    cluster_.run(5s);
-    for (int i = 0; i < 30 && !cluster_.unfinished().empty(); ++i) cluster_.run(5s);
-  }
-  wire::JobSpec job(std::uint32_t tasks, double cpus, const std::string& zone = "") {
-    auto s = cluster_.random_job();
-    s.team = "red";
-    s.service = s.spread = s.one_zone = s.spot = false;
-    s.rank = wire::Rank::Standard;
-    s.tasks = tasks;
-    s.cpus = cpus;
-    s.ram_gb = 1;
-    s.types.reset();
-    if (zone.empty()) s.zone.reset();
-    else s.zone = zone;
-    s.estimate = wire::Seconds(5000);
-    return s;
-  }
-  wire::JobSpec service(std::uint32_t tasks, double cpus, const std::string& zone = "") {
-    auto s = job(tasks, cpus, zone);
-    s.service = true;
-    s.rank = wire::Rank::Production;
-    s.estimate = wire::Seconds(0);
-    return s;
-  }
+  ReportTest() : OperatedCluster(9) {}
   void submit(const wire::JobSpec& s) {
     submitted_[s.uid] = s;
     cluster_.submit(s);
@@ -110,10 +80,6 @@
       if (row.at("job") == uid) return row;
     return {};
   }
-  void TearDown() override { EXPECT_EQ(broken(cluster_.rules()), ""); }
-
-  World world_{9};
-  Cluster cluster_{world_, settings_with_operators(), {.scripted = true}};
   std::map<std::string, wire::JobSpec> submitted_;
   std::vector<std::string> missing_;
 };
@@ -202,7 +168,7 @@
 TEST_F(ReportTest, ThousandsOfQueuedJobs) {
   constexpr std::size_t kJobs = 2'000;
   for (std::size_t i = 0; i < kJobs; ++i) {
-    submit(job(10, 4));
+    submit(job(10, 4, "", 5000));
     if (i % 40 == 39) cluster_.run(1s);  // the state service takes so many a second
   }
   cluster_.run(150s);
