Re-read: one place each for budgets, drains' cover, errors, ranks and saving; dead flag gone

Change: Book::within_budget, Drain::covers, JobSpec::wind_down, wire::name_of(Rank), one operate::error; one loop in Placer::run. Behaviour stays as it is.

--- a/src/drains/drain.cpp
+++ b/src/drains/drain.cpp
@@ -51,7 +51,7 @@
 
 bool Drains::gives_back(const std::string& machine, const std::string& zone) const {
   return std::any_of(all_.begin(), all_.end(), [&](const auto& d) {
-    return d.second.give_back && d.second.name == (d.second.kind == Kind::Machine ? machine : zone);
+    return d.second.give_back && d.second.covers(machine, zone);
   });
 }
 
--- a/src/drains/drain.hpp
+++ b/src/drains/drain.hpp
@@ -16,6 +16,7 @@
   net::WallTime asked{};
   std::string note;       ///< of whoever asked; at most kMaxNote bytes
   bool give_back = false; ///< machines are returned to the cloud once they are empty
+  bool covers(const std::string& machine, const std::string& zone) const { return name == (kind == Kind::Machine ? machine : zone); }
   bool operator==(const Drain&) const = default;
 };
 constexpr std::size_t kMaxNote = 200;
--- a/src/drains/mover.cpp
+++ b/src/drains/mover.cpp
@@ -24,7 +24,7 @@
     if (!view.drained) continue;
     bool overdue = false;
     for (const auto& [id, d] : drains_.all())
-      if (d.name == (d.kind == Kind::Machine ? name : view.report.zone)) overdue = overdue || wall - d.asked > patience;
+      if (d.covers(name, view.report.zone)) overdue = overdue || wall - d.asked > patience;
     for (const auto& t : view.report.tasks) {
       const auto* job = t.exited() ? nullptr : index_.find(t.uid);
       if (!job || job->ended || !job->spec_known) continue;  // what has ended is killed by whoever hears the machine
@@ -89,12 +89,12 @@
   for (const auto& [id, d] : drains_.all()) {
     auto& p = progress_[id];
     for (const auto& [name, view] : registry_.views()) {
-      if (d.name != (d.kind == Kind::Machine ? name : view.report.zone)) continue;
+      if (!d.covers(name, view.report.zone)) continue;
       ++p.machines;
       p.empty += std::all_of(view.report.tasks.begin(), view.report.tasks.end(), [](const auto& t) { return t.exited(); });
     }
     for (const auto& step : steps) {
-      if (d.name != (d.kind == Kind::Machine ? step.task->machine : step.task->zone)) continue;
+      if (!d.covers(step.task->machine, step.task->zone)) continue;
       ++p.tasks;
       const auto hold = step.hold.value_or(Hold::Moving);
       ++p.held[hold];
@@ -110,7 +110,7 @@
     spdlog::info("drain: task {} leaves {}{}, generation {}", wire::task_name(r.uid, r.index), r.machine,
                  step.target.empty() ? std::string() : ", room on " + step.target, membership_.generation().number);
     moving_[{r.uid, r.index}] = {r.machine, now};
-    book_.order(r.machine, *t, wire::Verb::Kill, r.spec->checkpoint_every.count() > 0 ? r.spec->save_cost : wire::Seconds(0));
+    book_.order(r.machine, *t, wire::Verb::Kill, r.spec->wind_down());
   }
 }
 }  // namespace limemast::drains
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -283,7 +283,7 @@
   const auto ran = t.runs() ? net::to_seconds(runtime_.now() - b.running_since) : wire::Seconds(0);
   if (t.runs() && ran + *r.notice * kNoticeTrust > s.estimate) return;
   b.leaving = true;
-  order(r.machine, t, wire::Verb::Kill, s.checkpoint_every.count() > 0 ? s.save_cost : wire::Seconds(0));
+  order(r.machine, t, wire::Verb::Kill, s.wind_down());
 }
 
 void Book::order(const std::string& machine, const wire::TaskReport& t, wire::Verb verb, wire::Seconds wind_down) {
@@ -365,7 +365,7 @@
          may_try(job) && gate_open(job);
 }
 
-bool Book::may_place(const Job& job, const View& view, bool budget) {
+bool Book::may_place(const Job& job, const View& view) const {
   const auto& s = job.open.spec;
   const auto& r = view.report;
   if (!s.allows_type(r.type) || (s.zone && *s.zone != r.zone) || (r.spot && !s.spot)) return false;
@@ -377,7 +377,13 @@
     auto it = job.zones.find(r.zone);
     if ((it == job.zones.end() ? 0 : it->second) + 1 > s.zone_cap()) return false;
   }
-  return !budget || budgets_.may_use(s.team, machines::Room::of(s));
+  return true;
+}
+
+bool Book::within_budget(Job& job) {
+  if (budgets_.may_use(job.open.spec.team, machines::Room::of(job.open.spec), job.todo())) return true;
+  job.over_limit = runtime_.now();
+  return false;
 }
 
 std::optional<std::uint32_t> Book::next_task(Job& job) {
@@ -455,11 +461,7 @@
 bool Book::place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict) {
   auto* job = find(uid);
   const auto* view = registry_.find(machine);
-  if (!job || !view || !may_hand_out(*job) || !may_place(*job, *view, false)) return false;
-  if (!budgets_.may_use(job->open.spec.team, machines::Room::of(job->open.spec), job->todo())) {
-    job->over_limit = runtime_.now();
-    return false;
-  }
+  if (!job || !view || !may_hand_out(*job) || !may_place(*job, *view) || !within_budget(*job)) return false;
   const auto index = next_task(*job);
   if (!index) return false;
   bind(*job, *index, *view, false, evict);
@@ -477,12 +479,8 @@
     return none(true);
   }
   if (!may_hand_out(*job) || !view || view->host != from || view->report.tenure != m.at("tenure").get<std::uint64_t>() ||
-      !registry_.registered(machine) || !may_place(*job, *view, false))
-    return none(false);
-  if (!budgets_.may_use(job->open.spec.team, machines::Room::of(job->open.spec), job->todo())) {
-    job->over_limit = runtime_.now();
+      !registry_.registered(machine) || !may_place(*job, *view) || !within_budget(*job))
     return none(false);
-  }
   const auto index = next_task(*job);
   if (!index) return none(false);
   bind(*job, *index, *view, true);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -92,8 +92,8 @@
   /// `done` gets the final phase once it is written, or nullopt if it could not be decided.
   void cancel(const std::string& uid, std::function<void(std::optional<Phase>)> done);
 
-  /// The leader's part: may a task of this job go to this machine now, and doing it.
-  bool may_place(const Job& job, const View& view, bool budget = true);
+  /// The leader's part: may a task of this job go to this machine now, its team's limit apart, and doing it.
+  bool may_place(const Job& job, const View& view) const;
   /// `evict`: tasks of lower rank there that are ended to make room.
   bool place(const std::string& uid, const std::string& machine, const std::vector<wire::TaskReport>& evict = {});
   /// Tells whoever hears the machine to end this task; it saves first if it can and `wind_down` allows it.
@@ -129,6 +129,8 @@
   void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
   void unbind(Job& job, std::uint32_t index, bool todo);
   std::optional<std::uint32_t> next_task(Job& job);
+  /// The team's budget allows another task of it; if not, more is asked for and the refusal remembered.
+  bool within_budget(Job& job);
   bool may_try(const Job& job) const;
   void on_exit(Job& job, std::uint32_t index, const wire::TaskReport& t, const std::string& machine);
   void on_failure(Job& job, std::uint32_t index, const std::string& machine, net::Duration ran);
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -74,12 +74,12 @@
   seen_arrivals_ = book_.arrivals();
   last_run_ = now;
   std::vector<std::pair<Order, const Job*>> waiting;
-  for (const auto& [uid, job] : book_.jobs())
-    if (job->open.is_long && job->alive() && job->todo() > 0 && book_.may_hand_out(*job)) waiting.emplace_back(order_of(*job, runtime_.wall()), job.get());
+  for (const auto& [uid, job] : book_.jobs()) {
+    if (!job->open.is_long) continue;
+    if (job->alive() && job->todo() > 0 && book_.may_hand_out(*job)) waiting.emplace_back(order_of(*job, runtime_.wall()), job.get());
+    else book_.note_wait(*job);
+  }
   std::erase_if(evict_after_, [&](const auto& e) { return e.second < now; });
-  if (ledger_.on())
-    for (const auto& [uid, job] : book_.jobs())
-      if (job->open.is_long && !(job->alive() && job->todo() > 0 && book_.may_hand_out(*job))) book_.note_wait(*job);
   if (waiting.empty()) return;
   std::sort(waiting.begin(), waiting.end());
   if (ledger_.on()) note_lines(waiting);
@@ -131,7 +131,7 @@
   const bool guest = settings_.yields(job.open.spec);
   std::vector<Slot*> out;
   for (auto& slot : slots)
-    if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && book_.may_place(job, *slot.view, false)) out.push_back(&slot);
+    if (slot.free.fits(need) && (!guest || open_to_guests(slot, job.open.spec)) && book_.may_place(job, *slot.view)) out.push_back(&slot);
   return out;
 }
 
@@ -202,7 +202,7 @@
   std::vector<sched::Candidate> candidates;
   std::vector<Slot*> of;
   for (auto* slot : slots) {
-    if (!slot->free.fits(need) || !book_.may_place(job, *slot->view, false)) continue;
+    if (!slot->free.fits(need) || !book_.may_place(job, *slot->view)) continue;
     const auto& r = slot->view->report;
     const auto& type = *slot->type;
     sched::Candidate c;
@@ -244,7 +244,7 @@
   std::pair<double, std::size_t> best_cost;
   std::vector<wire::TaskReport> best_victims;
   for (auto& slot : slots) {
-    if (slot.evicting || slot.short_part || !machines::Room::of(*slot.type).fits(need) || !book_.may_place(job, *slot.view, false)) continue;
+    if (slot.evicting || slot.short_part || !machines::Room::of(*slot.type).fits(need) || !book_.may_place(job, *slot.view)) continue;
     std::vector<std::pair<wire::Rank, const wire::TaskReport*>> lower;
     for (const auto& t : slot.view->report.tasks) {
       const auto* other = t.exited() ? nullptr : index_.find(t.uid);
@@ -398,7 +398,7 @@
   map.short_part = {chosen.begin(), chosen.end()};
   map.kept_free = keep_free(map);
   json message{{"generation", map.generation}, {"serial", map.serial}, {"with_long", map.with_long},
-                     {"short_part", map.short_part}, {"kept_free", map.kept_free}, {"closed", registry_.all_closed()}};
+               {"short_part", map.short_part}, {"kept_free", map.kept_free}, {"closed", registry_.all_closed()}};
   if (ledger_.on()) message["coming"] = to_json(registry_.coming(), runtime_.now());
   registry_.long_map() = std::move(map);
   router_.broadcast("map", message);
--- a/src/operate/desk.cpp
+++ b/src/operate/desk.cpp
@@ -17,7 +17,6 @@
 constexpr auto kTidyEvery = 10s;
 constexpr auto kLogEvery = 60s;
 
-net::HttpResponse error(int status, const std::string& what) { return {status, json{{"error", what}}.dump() + "\n", status == 503 ? 1 : 0, {}}; }
 int hex(char c) { return c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1; }
 std::string unescape(const std::string& text) {
   std::string out;
@@ -33,6 +32,10 @@
 }
 }  // namespace
 
+net::HttpResponse error(int status, const std::string& what) {
+  return {status, json{{"error", what}}.dump() + "\n", status == 503 ? 1 : 0, {}};
+}
+
 Desk::Desk(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror, cluster::Membership& membership,
            cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, jobs::Book& book, insight::Ledger& ledger,
            insight::Terrain& terrain, const drains::Drains& drains, const drains::Mover& mover, Meter* meter)
@@ -157,7 +160,6 @@
   Gathering g;
   g.what = what;
   g.done = std::move(done);
-  g.asked = runtime_.now();
   const auto id = next_id_++;
   const bool room = gatherings_.size() < kMaxGatherings;
   for (const auto& [tag, args] : asked) {
--- a/src/operate/desk.hpp
+++ b/src/operate/desk.hpp
@@ -9,6 +9,8 @@
 
 namespace limemast::operate {
 const std::string kPrefix = "/operator/v1/";
+/// What went wrong, as operators are told; 503 says when to come back.
+net::HttpResponse error(int status, const std::string& what);
 
 /// The operators' interface. Any controller answers for all: what only others know it asks them, and says whose part is
 /// missing. Its requests wait in a line of their own, one is taken up at a time, and while the loop is late none is, so that
@@ -41,7 +43,6 @@
     std::map<cluster::Tag, wire::json> parts;
     std::set<cluster::Tag> missing;
     std::function<void(Gathering&)> done;
-    net::Time asked{};
   };
   struct Told {
     wire::json part;
--- a/src/operate/views.cpp
+++ b/src/operate/views.cpp
@@ -8,7 +8,6 @@
 using wire::json;
 constexpr std::size_t kMaxText = 120;  ///< of a name that users chose: no line may grow with it
 
-net::HttpResponse error(int status, const std::string& what) { return {status, json{{"error", what}}.dump() + "\n", status == 503 ? 1 : 0, {}}; }
 std::string text_of(const json& j) { return j.dump(-1, ' ', false, json::error_handler_t::replace); }
 net::HttpResponse ok(const json& body) { return {200, text_of(body) + "\n", 0, {}}; }
 
@@ -31,16 +30,6 @@
 double seconds(net::Duration d) { return std::round(net::to_seconds(d).count() * 1000) / 1000; }
 std::int64_t wall_ms(net::WallTime t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch()).count(); }
 
-const char* rank_name(wire::Rank rank) {
-  switch (rank) {
-    case wire::Rank::Low: return "low";
-    case wire::Rank::Standard: return "standard";
-    case wire::Rank::Urgent: return "urgent";
-    case wire::Rank::Production: return "production";
-  }
-  return "";
-}
-
 /// A whole number between 1 and `most`, or `most`; nullopt if the field is there and is none.
 std::optional<std::size_t> limit_of(const std::map<std::string, std::string>& fields, std::size_t most) {
   const auto it = fields.find("limit");
@@ -80,7 +69,7 @@
   const auto* open = index_.find(uid);
   if (!open || open->ended) return {};
   const auto& s = open->spec;
-  json out{{"uid", uid}, {"class", shortened(s.workload)}, {"team", shortened(s.team)}, {"rank", rank_name(s.rank)},
+  json out{{"uid", uid}, {"class", shortened(s.workload)}, {"team", shortened(s.team)}, {"rank", wire::name_of(s.rank)},
            {"shape", s.service ? "service" : s.gang ? "gang" : "array"}, {"tasks", s.tasks}, {"cpus", s.cpus}, {"ramGb", s.ram_gb},
            {"ageS", std::max(0.0, seconds(runtime_.wall() - open->submitted))}, {"owner", cluster::label_of(index_.owner_of(uid))}};
   if (told && told->is_object()) {
--- a/src/wire/job.cpp
+++ b/src/wire/job.cpp
@@ -53,6 +53,10 @@
     {"low", Rank::Low}, {"standard", Rank::Standard}, {"urgent", Rank::Urgent}, {"production", Rank::Production}};
 }  // namespace
 
+const char* name_of(Rank rank) {
+  return std::find_if(std::begin(kRanks), std::end(kRanks), [&](auto& r) { return r.second == rank; })->first;
+}
+
 bool JobSpec::allows_type(const std::string& type) const {
   return !types || std::find(types->begin(), types->end(), type) != types->end();
 }
@@ -131,7 +135,7 @@
            {"workload", spec.workload},
            {"owner", spec.team},
            {"shape", spec.service ? "daemon" : spec.gang ? "group" : "batch"},
-           {"rank", std::find_if(std::begin(kRanks), std::end(kRanks), [&](auto& r) { return r.second == spec.rank; })->first},
+           {"rank", name_of(spec.rank)},
            {"shards", spec.tasks},
            {"cpus", spec.cpus},
            {"accelerators", spec.accelerators},
--- a/src/wire/job.hpp
+++ b/src/wire/job.hpp
@@ -11,6 +11,7 @@
 using Seconds = std::chrono::duration<double>;
 
 enum class Rank { Low, Standard, Urgent, Production };
+const char* name_of(Rank rank);
 
 /// What a user submits: the shape of a job and what each of its tasks needs.
 struct JobSpec {
@@ -39,6 +40,8 @@
   bool allows_type(const std::string& type) const;
   /// The most tasks that one zone may hold (`apart`: half of them, rounded up).
   std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
+  /// What a task needs to save when it is stopped; 0 if it saves nothing.
+  Seconds wind_down() const { return checkpoint_every.count() > 0 ? save_cost : Seconds(0); }
 };
 
 /// Ids have one form only; anything else was never submitted.
