--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -33,7 +33,7 @@
              cluster::Membership& membership, cluster::JobIndex& index, machines::Registry& registry, jobs::Book& book,
              const drains::Drains& drains)
     : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror), membership_(membership), index_(index),
-      registry_(registry), book_(book), drains_(drains), calls_(settings.cloud_rps * kCallShare, settings.cloud_rps) {}
+      registry_(registry), book_(book), drains_(drains), calls_(settings.cloud_rps * kCallShare, settings.cloud_rps), holdup_(net::to_duration(settings.report)) {}
 
 void Fleet::start() { tick(); }
 
@@ -172,6 +172,27 @@
               });
 }
 
+/// A takeover waits for every machine. What is silent and few is given back, which proves what a lease would take to.
+void Fleet::end_holdup() {
+  const auto generation = book_.waits_for();
+  // What another controller hears is known here only while we can speak with it.
+  if (generation == 0 || runtime_.now() - registry_.linked_since() < net::to_duration(settings_.report)) return holdup_.forget();
+  std::vector<handover::Unproven> unproven;
+  std::map<std::string, std::size_t> registered;
+  for (const auto& [name, records] : registry_.all_registered()) {
+    const auto m = machines_.find(name);
+    const auto zone = m == machines_.end() ? std::string() : m->second.zone;
+    ++registered[zone];
+    if (book_.knows(name, generation) || gone_.contains(name)) continue;
+    const auto* view = registry_.find(name);
+    const bool silent = !view || runtime_.now() - view->heard > 2 * net::to_duration(settings_.report);
+    unproven.push_back({name, zone, silent});
+  }
+  for (const auto& name : holdup_.judge(generation, unproven, registered, runtime_.now()))
+    if (to_release_.insert(name).second)
+      spdlog::info("machine {} is silent and holds up what was taken over: giving it back, generation {}", name, membership_.generation().number);
+}
+
 double Fleet::units(const wire::MachineType& type, const wire::JobSpec& spec) const {
   // How many of these tasks the machine holds, by whichever resource runs out first.
   double n = std::floor(type.cpus / std::max(spec.cpus, 0.01) + 1e-6);
@@ -569,6 +590,7 @@
     give_back();
     if (!listing_ && now - last_list_ > kListEvery && take_call()) list("", std::make_shared<std::vector<wire::ListedMachine>>());
     watch_health();
+    end_holdup();
     unregister();
     return_drained();
     if (settings_.operators.enabled) tell_coming();
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "cloud/health.hpp"
 #include "drains/drain.hpp"
+#include "handover/holdup.hpp"
 #include "jobs/placer.hpp"
 
 namespace limemast::cloud {
@@ -48,6 +49,7 @@
   void list(const std::string& from, std::shared_ptr<std::vector<wire::ListedMachine>> sofar);
   void on_list(const std::vector<wire::ListedMachine>& listed);
   void watch_health();
+  void end_holdup();
   void size();
   Need need(std::vector<const wire::JobSpec*>& firm_jobs, std::vector<const wire::JobSpec*>& cheap_jobs) const;
   Need have() const;
@@ -92,6 +94,7 @@
   std::set<std::string> to_unregister_;
   Blame blame_;
   Boots boots_;
+  handover::Holdup holdup_;
   std::uint64_t next_hire_ = 1;
   net::Time led_since_{};
   net::Time last_list_{};
--- /dev/null
+++ b/src/handover/holdup.hpp
@@ -0,0 +1,42 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/runtime.hpp"
+
+namespace limemast::handover {
+/// A machine that has not shown the new generation's mandate yet, so that what it holds is not known.
+struct Unproven {
+  std::string machine;
+  std::string zone;
+  bool silent = false;  ///< nobody has heard it for longer than two reports take
+};
+
+/// Decides which machines a takeover stops waiting for. Work that was taken over is handed out only when every machine
+/// has shown what it holds or is proven gone; a machine that died with its controller shows nothing, and its silence
+/// proves nothing for a lease and more, in which all that waits stands still. Giving it back is a proof at once.
+///
+/// That costs a machine that merely hangs its place, so a few that are silent are given up, and those of a zone that is
+/// cut off (most of its machines silent) or behind a controller that cannot be heard are waited for.
+/// Pure logic: the caller gives the machines back.
+class Holdup {
+ public:
+  /// `report`: how often machines report. Patience follows from it.
+  explicit Holdup(net::Duration report) : report_(report) {}
+
+  /// To be called every so often while work waits for `generation` to be shown. `registered`: machines by zone.
+  /// Returns the machines to be given back now.
+  std::vector<std::string> judge(std::uint64_t generation, const std::vector<Unproven>& unproven,
+                                 const std::map<std::string, std::size_t>& registered, net::Time now);
+  /// Nothing waits any more.
+  void forget() { generation_ = 0; }
+
+ private:
+  net::Duration report_;
+  std::uint64_t generation_ = 0;
+  net::Time begun_{};
+  net::Time progress_{};  ///< when a machine last showed itself
+  std::size_t last_ = 0;
+};
+}  // namespace limemast::handover
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -767,9 +767,17 @@
   if (!left.empty() && membership_.entitled()) tell_left(left);
   for (const auto& machine : std::exchange(again_, {})) on_view(machine);
   for (const auto& uid : finished) jobs_.erase(uid);
-  const bool rebuilt = std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-    return j.second->over || j.second->gate == 0 || (j.second->progress_known && all_known_since(j.second->gate));
-  }) && all_known_since(membership_.generation().number);
+  // What a lost owner had handed out is known, and belongs to somebody, once every machine has shown the generation
+  // without it. Members that joined since have nothing that could be unknown.
+  waits_for_ = 0;
+  bool rebuilt = all_known_since(budgets_.lost_since());
+  if (!rebuilt && !waiting.empty()) waits_for_ = budgets_.lost_since();
+  for (const auto& [uid, job] : jobs_) {
+    if (job->over || job->gate == 0) continue;
+    const bool known = all_known_since(job->gate);
+    rebuilt = rebuilt && known && job->progress_known;
+    if (!known && job->alive() && job->todo() > 0) waits_for_ = std::max(waits_for_, job->gate);
+  }
   budgets_.expect(std::move(waiting));
   budgets_.tick(rebuilt);
   record_progress();
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -114,6 +114,14 @@
   /// Grows with each job taken up.
   std::uint64_t arrivals() const { return arrivals_; }
 
+  /// The generation that machines have yet to show before all that waits here may be handed out; 0: none.
+  std::uint64_t waits_for() const { return waits_for_; }
+  /// This machine has shown that generation, and all on it is known here.
+  bool knows(const std::string& machine, std::uint64_t generation) const {
+    auto it = read_.find(machine);
+    return it != read_.end() && it->second >= cluster::mandate_base(generation);
+  }
+
   /// What keeps this controller from handing out any task of the job, wherever there may be room.
   std::optional<insight::Cause> held_by(const Job& job) const;
   /// Writes into the ledger why the rest of the job's tasks wait, now that a decision has passed them over.
@@ -180,6 +188,7 @@
     std::uint64_t all = 0;
   };
   mutable std::optional<LeastRead> least_read_;  ///< of the registered machines; empty: to be found anew
+  std::uint64_t waits_for_ = 0;
   std::uint64_t changes_ = 0;
   std::uint64_t arrivals_ = 0;
   struct Refusal {
--- a/src/jobs/budgets.cpp
+++ b/src/jobs/budgets.cpp
@@ -91,13 +91,17 @@
 }
 
 void Budgets::on_generation() {
-  if (seen_leader_ != membership_.generation().leader) {
+  const bool other_leader = seen_leader_ != membership_.generation().leader;
+  if (other_leader) {
     seen_leader_ = membership_.generation().leader;
     seen_serial_ = 0;
     table_.clear();
   }
-  // A member was lost or has come back: nothing new is granted until all that runs is known again.
+  // A member that joined was granted nothing yet. One that was lost had tasks that are known only when all machines
+  // have shown them: nothing new is granted until then.
+  if (!other_leader && !membership_.lost_member()) return;
   recovered_ = false;
+  lost_since_ = membership_.generation().number;
 }
 
 void Budgets::on_state(const cluster::Tag& from, const json& m) {
--- a/src/jobs/budgets.hpp
+++ b/src/jobs/budgets.hpp
@@ -24,6 +24,8 @@
   /// Once a second: give back what is not needed, ask for what is. `rebuilt`: all that runs is known here.
   void tick(bool rebuilt);
   void on_generation();
+  /// The newest generation that lost a member, or got another leader: what was granted before it must be found again.
+  std::uint64_t lost_since() const { return lost_since_; }
 
  private:
   struct Local {
@@ -52,5 +54,6 @@
   // The leader's table.
   std::map<cluster::Tag, Member> table_;
   bool recovered_ = false;
+  std::uint64_t lost_since_ = 0;
 };
 }  // namespace limemast::jobs
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -88,6 +88,7 @@
     // voids them; until a report shows it, nothing is cleared here.
     h.clean_from = std::max({h.clean_from, report.mandate + 1, cluster::mandate_base(generation)});
     h.fence = std::max(h.fence, h.clean_from);
+    h.moved_here = true;
     spdlog::debug("machine {} now reports here, generation {}", report.machine, generation);
   }
   if (h.respond) h.respond({503, {}, 0, {}});
@@ -142,8 +143,9 @@
   const auto now = runtime_.now();
   if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}, {"served", now - membership_.served_by_state() < kServed}});
   std::erase_if(beats_, [&](const auto& b) { return !membership_.member(b.first); });
+  // One that has just joined heard nothing before that we could have missed.
   for (const auto& tag : membership_.generation().members)
-    if (auto it = beats_.find(tag); tag != membership_.self() && (it == beats_.end() || now - it->second.at > kBeatGap)) registry_.set_linked_since(now);
+    if (tag != membership_.self() && now - beats_.try_emplace(tag, Beat{now, false}).first->second.at > kBeatGap) registry_.set_linked_since(now);
 }
 
 bool Host::others_served() const {
@@ -317,6 +319,12 @@
   }
   h.answered = runtime_.now();
   respond({200, wire::orders_body(mandate_for(h, *view), orders).dump(), 0, {}});
+  // It has come from a controller that was lost, or out of a cut. A worker tells of a higher mandate by itself only once
+  // in half a lease: asked for it now, what it holds is known a report's interval sooner.
+  if (cluster::generation_of(view->report.mandate) < membership_.generation().number && std::exchange(h.moved_here, false)) {
+    h.announce = true;
+    flush_soon(machine);
+  }
 }
 
 void Host::register_soon(const std::string& machine) {
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -57,6 +57,7 @@
     net::Time answered{};
     bool direct_busy = false;
     bool flush_armed = false;
+    bool moved_here = false;      ///< it has come to us and was not asked to show the mandate yet
     bool announce = false;        ///< a direct command goes out though nothing is to be ordered
     std::uint64_t told_tenure = 0;  ///< the newest report that the others were sent
     std::uint64_t told_tick = 0;
