--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,7 +11,6 @@
 constexpr auto kTick = 1s;
 constexpr auto kPlaceEvery = 100ms;
 constexpr auto kEndedKept = 600s;
-constexpr auto kUnserved = 4s;  ///< without a renewed grant: two renewals missed
 const std::string kSubmissions = "/submissions";
 const std::string kAbort = "/abort";
 }  // namespace
@@ -24,6 +23,7 @@
       mirror_(runtime, client_, cluster::keys::kWatched),
       membership_(runtime, settings, client_, mirror_),
       router_(runtime, membership_),
+      verdicts_(runtime, client_, mirror_, membership_, router_),
       index_(membership_),
       registry_(index_),
       ledger_(settings.operators.enabled),
@@ -52,6 +52,7 @@
   mirror_.start([this](const std::vector<store::Change>& changes) { on_changes(changes); });
   fleet_.start();
   operators_.start();
+  verdicts_.start();
   tick();
   place();
   send_map();
@@ -90,6 +91,11 @@
   }
   if (drains_changed) registry_.set_drains(drains_.machines(), drains_.zones());
   membership_.on_changes(changes);
+  verdicts_.on_changes(changes);
+  std::set<cluster::Tag> suspects;
+  for (const auto& tag : membership_.generation().members)
+    if (verdicts_.suspected(tag)) suspects.insert(tag);
+  registry_.set_suspects(std::move(suspects));
   if (jobs_changed) {
     book_.sync();
     placer_.run();
@@ -99,6 +105,7 @@
 void Node::on_generation() {
   log_generation(membership_.generation().number);
   client_.share_among(membership_.generation().members.size());
+  verdicts_.on_generation();
   host_.on_generation(membership_.lost_member());
   book_.on_generation();
   fleet_.on_generation();
@@ -136,7 +143,7 @@
     if (request.method != "GET") return not_allowed("GET");
     // Refused by the state service while others are served, this controller can accept nothing: users go to those. In an
     // outage for all it stays ready, as it takes seconds to count as healthy again.
-    const bool refused = membership_.served_by_state() < runtime_.now() - kUnserved && host_.others_served();
+    const bool refused = !membership_.served() && host_.others_served();
     const bool ready = membership_.entitled() && !registry_.types().empty() && !refused;
     return respond({ready ? 200 : 503, ready ? "{}" : R"({"error":"not ready"})", 0, {}});
   }
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "cloud/fleet.hpp"
+#include "cluster/verdicts.hpp"
 #include "jobs/frontdesk.hpp"
 #include "machines/host.hpp"
 #include "operate/desk.hpp"
@@ -15,6 +16,7 @@
   void serve(const net::HttpRequest& request, net::Responder respond);
   void from_peer(const wire::json& message) { router_.receive(message); }
   const cluster::Membership& membership() const { return membership_; }
+  const cluster::Verdicts& verdicts() const { return verdicts_; }
   const jobs::Book& book() const { return book_; }
   const insight::Ledger& ledger() const { return ledger_; }
   const machines::Registry& registry() const { return registry_; }
@@ -33,6 +35,7 @@
   store::Mirror mirror_;
   cluster::Membership membership_;
   cluster::Router router_;
+  cluster::Verdicts verdicts_;
   cluster::JobIndex index_;
   machines::Registry registry_;
   insight::Ledger ledger_;
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint32_t kMaxHire = 50;
 constexpr std::size_t kMaxRelease = 100;
 constexpr std::size_t kManyOverdue = 2;
+constexpr auto kTellHoldup = 5s;
 }  // namespace
 
 Fleet::Fleet(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
@@ -188,6 +189,12 @@
     const bool silent = !view || runtime_.now() - view->heard > 2 * net::to_duration(settings_.report);
     unproven.push_back({name, zone, silent});
   }
+  if (runtime_.now() - told_holdup_ > kTellHoldup) {
+    told_holdup_ = runtime_.now();
+    const auto silent = std::count_if(unproven.begin(), unproven.end(), [](const auto& u) { return u.silent; });
+    spdlog::info("what was taken over waits for {} of {} machines, {} silent, generation {}", unproven.size(), registry_.all_registered().size(),
+                 silent, generation);
+  }
   for (const auto& name : holdup_.judge(generation, unproven, registered, runtime_.now()))
     if (to_release_.insert(name).second)
       spdlog::info("machine {} is silent and holds up what was taken over: giving it back, generation {}", name, membership_.generation().number);
@@ -313,7 +320,8 @@
   hire_for_starved();
   const auto peak = recent_peak(wanted);
   there = have();
-  give_up_surplus(peak, there);
+  // What is given back while the state service is away cannot be struck off its records: a new leader would wait for it.
+  if (membership_.served()) give_up_surplus(peak, there);
 }
 
 void Fleet::give_up_surplus(const Need& wanted, Need& there) {
@@ -554,12 +562,16 @@
     if (gone_.contains(name) || registry_.gone(name)) to_unregister_.insert(name);  // written down only after it was given back
   std::erase_if(to_unregister_, [&](const auto& name) { return !registry_.registered(name); });
   if (to_unregister_.empty() || unregistering_ || !membership_.entitled()) return;
-  // Machines with tasks go first: they are handed out anew once the record says that they are gone. The rest waits
-  // behind users' writes, which a large fleet that shrinks would hold up for seconds.
+  // Machines with tasks go first: they are handed out anew once the record says that they are gone. So do those that all
+  // that was taken over waits for. The rest waits behind users' writes, which a large fleet that shrinks would hold up for
+  // seconds.
   std::vector<std::string> names(to_unregister_.begin(), to_unregister_.end());
-  const auto waiting = std::partition(names.begin(), names.end(), [&](const auto& name) { return busy(name); });
+  const auto generation = book_.waits_for();
+  const auto waiting = std::partition(names.begin(), names.end(), [&](const auto& name) {
+    return busy(name) || (generation != 0 && !book_.knows(name, generation));
+  });
   const auto priority = waiting == names.begin() ? store::Priority::Background : store::Priority::User;
-  const auto limit = std::min<std::size_t>(settings_.txn_ops, kMaxUnregister);
+  const auto limit = generation != 0 ? settings_.txn_ops : std::min<std::size_t>(settings_.txn_ops, kMaxUnregister);
   std::map<std::string, std::map<std::string, bool>> records;
   for (const auto& name : names) {
     if (records.size() >= limit) break;
--- a/src/cloud/fleet.hpp
+++ b/src/cloud/fleet.hpp
@@ -97,6 +97,7 @@
   handover::Holdup holdup_;
   std::uint64_t next_hire_ = 1;
   net::Time led_since_{};
+  net::Time told_holdup_{};
   net::Time last_list_{};
   net::Time last_catalog_{};
   bool leading_ = false;
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -10,13 +10,16 @@
 using namespace std::chrono_literals;
 using store::json;
 constexpr auto kRetry = 400ms;
-constexpr auto kTouchEvery = 2s;
+constexpr auto kTouchEvery = 1s;
 constexpr auto kTouchTimeout = 1500ms;
 /// Taken off the grant's time, beyond the 0.1% by which clocks may differ.
 constexpr auto kGrantMargin = 300ms;
 /// Between the end of a cut-off controller's grant plus a lease, and the time by which cancelled tasks are gone.
 constexpr auto kCancelMargin = 3s;
 constexpr auto kMinTtl = 3s;
+/// Added to the time for which a lost member may be certain: its clock runs slow by 0.05% at the most, and an answer that
+/// it gave within that time is on its way.
+constexpr auto kSilentMargin = 200ms;
 }  // namespace
 
 std::string label_of(const Tag& tag) { return tag.substr(0, tag.rfind('@')); }
@@ -146,6 +149,8 @@
     const auto members = entry->value.at("members").get<std::vector<Tag>>();
     const auto before = std::exchange(generation_.members, {members.begin(), members.end()});
     lost_member_ = std::any_of(before.begin(), before.end(), [&](const Tag& tag) { return !member(tag); });
+    // Where nothing was known before, whoever was lost may have been so a moment ago.
+    if (before.empty() || lost_member_) others_silent_from_ = runtime_.now() + kCertainFor + kCertainFor / 1000 + kSilentMargin;
     if (generation_.leader != old_leader) leading_since_ = generation_.number;
     spdlog::info("generation {} leader {} members {}", generation_.number, generation_.leader, members.size());
     events_.changed();
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -22,7 +22,6 @@
 constexpr auto kTrial = 3s;
 constexpr unsigned kAttemptBits = 24;
 constexpr auto kLimitSeen = 2s;  ///< a pull that the budget refused comes again after one
-constexpr auto kUnserved = 4s;   ///< without a renewed grant: two renewals missed
 }  // namespace
 
 const char* name_of(Phase phase) {
@@ -513,7 +512,7 @@
 std::optional<insight::Cause> Book::held_by(const Job& job) const {
   using insight::Cause;
   if (!membership_.entitled()) return Cause::StateAway;
-  if (!job.progress_known) return runtime_.now() - membership_.served_by_state() > kUnserved ? Cause::StateAway : Cause::Takeover;
+  if (!job.progress_known) return membership_.served() ? Cause::Takeover : Cause::StateAway;
   if (!gate_open(job)) return Cause::Takeover;
   if (runtime_.now() < job.not_before || !may_try(job)) return Cause::BackingOff;
   return std::nullopt;
@@ -548,7 +547,7 @@
   std::vector<std::string> out;
   for (const auto& [name, view] : registry_.views()) {
     const auto& r = view.report;
-    if (!view.takes_work() || (r.spot && !s.spot) || (s.zone && *s.zone != r.zone)) continue;
+    if (!view.takes_work() || registry_.suspected(view.host) || (r.spot && !s.spot) || (s.zone && *s.zone != r.zone)) continue;
     const auto type = types.find(r.type);
     if (type == types.end() || !type->second || job.probes.contains(name)) continue;
     out.push_back(name);
@@ -635,7 +634,9 @@
 void Book::commit(const std::string& uid) {
   auto* job = find(uid);
   if (!job || !job->ending || job->over) return;
-  if (!membership_.entitled()) {
+  // Taken over from a member that may not know it yet: it might still tell a user that the job runs, after we told its end.
+  const bool too_soon = job->gate != 0 && runtime_.now() < membership_.others_silent_from();
+  if (!membership_.entitled() || too_soon) {
     runtime_.after(kCommitRetry, [this, uid] { commit(uid); });
     return;
   }
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -52,7 +52,7 @@
   const auto& part = short_part();
   out.reserve(registry_.views().size());
   for (const auto& [name, view] : registry_.views()) {
-    if (!view.takes_work() || now - view.heard > silent || !membership_.member(view.host) || book_.refused_lately(name))
+    if (!view.takes_work() || now - view.heard > silent || !membership_.member(view.host) || registry_.suspected(view.host) || book_.refused_lately(name))
       continue;
     const auto* type = registry_.type(view.report.type);
     if (!type) continue;
--- a/src/jobs/questions.cpp
+++ b/src/jobs/questions.cpp
@@ -47,9 +47,8 @@
   if (auto status = book_.status(uid); status && !status->deciding) {
     const bool final = status->phase == Phase::Done || status->phase == Phase::Cancelled;
     if (final) remember(uid, *status);
-    // Without a grant somebody else may own the job by now: only what can never change may be told.
-    if (final || membership_.entitled()) return done(Known::Yes, *status);
-    return done(Known::Unclear, {});
+    // Somebody else may own the job by now, unless we are certain: only what can never change may be told from memory.
+    if (final || membership_.certain()) return done(Known::Yes, *status);
   }
   if (waiting_ >= kMaxWaiting) return done(Known::Unclear, {});
   ++waiting_;
@@ -96,8 +95,8 @@
 void Questions::on_status_asked(const Tag& from, const json& m) {
   json states = json::array();
   for (const auto& uid : m.at("uids")) {
-    // Without a grant somebody else may own the job by now; while its end is being written only the service can tell.
-    if (const auto s = book_.status(uid.get_ref<const std::string&>()); s && !s->deciding && membership_.entitled())
+    // Somebody else may own the job by now, unless we are certain; while its end is being written only the service can tell.
+    if (const auto s = book_.status(uid.get_ref<const std::string&>()); s && !s->deciding && membership_.certain())
       states.push_back({static_cast<unsigned>(s->phase), s->done, s->running});
     else
       states.push_back(nullptr);
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -19,7 +19,6 @@
 constexpr auto kRefusedKept = 120s;
 constexpr auto kLookAgain = 2s;
 constexpr auto kBeatGap = 3500ms;
-constexpr auto kServed = 3s;  ///< since the last renewed grant, sent every two seconds
 constexpr auto kRegisterDelay = 100ms;  ///< machines that were hired together come up together: one record holds them
 constexpr auto kRegisterRetry = 1s;
 constexpr std::size_t kRecordMachines = 64;
@@ -141,7 +140,7 @@
     machines.insert(machines.end(), {json(name), json(h.told_tenure), json(h.told_tick)});
   }
   const auto now = runtime_.now();
-  if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}, {"served", now - membership_.served_by_state() < kServed}});
+  if (membership_.entitled()) router_.broadcast("heard", {{"machines", machines}, {"served", membership_.certain()}});
   std::erase_if(beats_, [&](const auto& b) { return !membership_.member(b.first); });
   // One that has just joined heard nothing before that we could have missed.
   for (const auto& tag : membership_.generation().members)
@@ -690,6 +689,7 @@
     for (const auto& p : std::list<sched::Probe>(h.probes.all()))
       if (!membership_.member(p.owner)) remove_probe(machine, p.uid);
   }
+  if (lost) claim_orphans();
   const auto limit = runtime_.now() - kRefusedKept;
   looked_into_.clear();
   std::erase_if(refused_, [&](const auto& r) { return r.second < limit; });
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -88,6 +88,8 @@
   void remove_probe(const std::string& machine, const std::string& uid);
   void remove_probes_of(const std::string& uid);
   void drop_probes(const std::string& machine, Hosted& h);
+  void claim_orphans();
+  void pump_claims();
   bool fresh(const wire::json& message) const;
   wire::json stamp_now() const;
   bool usable(const View& view) const;
@@ -116,6 +118,8 @@
   bool register_armed_ = false;
   std::uint64_t next_record_ = 1;
   std::size_t direct_calls_ = 0;
+  std::deque<std::string> claims_;  ///< machines of lost controllers, to be asked to show themselves
+  std::size_t claims_under_way_ = 0;
   std::set<std::string> direct_waiting_;  ///< machines whose orders wait until fewer calls are under way
   struct Beat {
     net::Time at{};
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -131,6 +131,9 @@
   }
   bool draining() const { return !drained_machines_.empty() || !drained_zones_.empty(); }
   bool zone_drained(const std::string& zone) const { return drained_zones_.contains(zone); }
+  /// Controllers that are suspected: what they hear gets nothing new.
+  void set_suspects(std::set<cluster::Tag> suspects) { suspects_ = std::move(suspects); }
+  bool suspected(const cluster::Tag& host) const { return suspects_.contains(host); }
   /// As the leader last said.
   const std::vector<Coming>& coming() const { return coming_; }
   void set_coming(std::vector<Coming> coming) { coming_ = std::move(coming); }
@@ -146,6 +149,7 @@
   std::set<std::string> gone_;
   std::set<std::string> closed_;
   std::set<std::string> drained_machines_, drained_zones_;
+  std::set<cluster::Tag> suspects_;
   std::vector<Coming> coming_;
   std::map<std::string, wire::MachineType> types_;
   std::unordered_map<std::string, std::set<std::string>> images_;
