--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -76,7 +76,7 @@
     } else if (cluster::keys::under(c.key, cluster::keys::kMachines, name)) {
       // A record names machines; those that none names any more were given back.
       const auto named = c.removed ? std::map<std::string, bool>() : mirror_.find(c.key)->value.get<std::map<std::string, bool>>();
-      for (const auto& machine : registry_.set_record(c.key, named)) {
+      for (const auto& machine : registry_.set_record(c.key, named, membership_.generation().number)) {
         host_.on_machine_removed(machine);
         book_.on_machine_removed(machine);
         registry_.remove(machine);
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kMaxRelease = 100;
 constexpr std::size_t kManyOverdue = 2;
 constexpr auto kTellHoldup = 5s;
+constexpr double kSilentReports = 2.5;  ///< without a report for so many intervals a machine is silent
+constexpr auto kSilentSlack = 5s;       ///< for machines of which this leader has never heard
 }  // namespace
 
 Fleet::Fleet(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, const store::Mirror& mirror,
@@ -130,6 +132,19 @@
 void Fleet::watch_health() {
   const auto now = runtime_.now();
   const auto lease = net::to_duration(settings_.lease);
+  // Where most of a zone is silent it is cut off. Its machines live on, without what they ran once their leases have ended, and to
+  // rent as many anew takes as long as most cuts do: they are given a second lease's time to come back.
+  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent, and all
+  for (const auto& [name, view] : registry_.views()) {
+    auto& [silent, all] = zones[view.report.zone];
+    silent += now - view.heard > net::to_duration(settings_.report * kSilentReports);
+    ++all;
+  }
+  auto patience = [&](const std::string& zone) {
+    const auto it = zones.find(zone);
+    const bool cut = it != zones.end() && it->second.first * 2 > it->second.second;
+    return (cut ? 2 * lease : lease) + net::to_duration(settings_.report);
+  };
   for (const auto& [name, view] : registry_.views()) {
     auto [it, fresh] = machines_.try_emplace(name);
     auto& m = it->second;
@@ -140,7 +155,7 @@
     m.phase = wire::MachinePhase::Running;
     // Silent for a whole lease: its tasks have ended or it is no more. Giving it back proves it.
     // What another controller hears counts only while we can speak with it.
-    if (now - std::max(view.heard, registry_.linked_since()) > lease + net::to_duration(settings_.report)) to_release_.insert(name);
+    if (now - std::max(view.heard, registry_.linked_since()) > patience(view.report.zone)) to_release_.insert(name);
     if (!std::exchange(m.up, true) && m.hired)
       if (const auto* type = registry_.type(m.type)) boots_.came(m.type, m.zone, net::to_seconds(view.first_heard - m.since), type->boot, now);
     for (const auto& t : view.report.tasks) {
@@ -163,7 +178,8 @@
     const auto* type = registry_.type(m.type);
     const auto boot = type ? net::to_duration(type->boot * kBootFactor) + 30s : net::Duration(300s);
     // Registered, yet silent since we lead; or booting for ever.
-    if (!heard && registry_.registered(name) && now - std::max({m.since, led_since_, registry_.linked_since()}) > lease + 10s) to_release_.insert(name);
+    if (!heard && registry_.registered(name) && now - std::max({m.since, led_since_, registry_.linked_since()}) > patience(m.zone) + kSilentSlack)
+      to_release_.insert(name);
     if (!heard && !registry_.registered(name) && now - m.since > boot) to_release_.insert(name);
   }
   blame_.keep([&](const auto& machine) { return registry_.find(machine) != nullptr; },
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -95,7 +95,9 @@
     least_read_ = LeastRead{kNone, kNone};
     for (const auto& [name, known] : registry_.all_registered()) {
       auto it = read_.find(name);
-      const auto mandate = it == read_.end() ? 0 : it->second;
+      const auto shown = it == read_.end() ? 0 : it->second;
+      // Before it was written down nobody commanded it: what came up since a takeover holds nothing from before.
+      const auto mandate = std::max(shown, cluster::mandate_base(known.generation));
       least_read_->all = std::min(least_read_->all, mandate);
       if (!known.spot) least_read_->ordinary = std::min(least_read_->ordinary, mandate);
     }
@@ -772,7 +774,7 @@
   // without it. Members that joined since have nothing that could be unknown.
   waits_for_ = 0;
   bool rebuilt = all_known_since(budgets_.lost_since());
-  if (!rebuilt && !waiting.empty()) waits_for_ = budgets_.lost_since();
+  if (!rebuilt && !waiting.empty() && budgets_.recovering()) waits_for_ = budgets_.lost_since();
   for (const auto& [uid, job] : jobs_) {
     if (job->over || job->gate == 0) continue;
     const bool known = all_known_since(job->gate);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -118,6 +118,8 @@
   std::uint64_t waits_for() const { return waits_for_; }
   /// This machine has shown that generation, and all on it is known here.
   bool knows(const std::string& machine, std::uint64_t generation) const {
+    const auto known = registry_.all_registered().find(machine);
+    if (known != registry_.all_registered().end() && known->second.generation >= generation) return true;
     auto it = read_.find(machine);
     return it != read_.end() && it->second >= cluster::mandate_base(generation);
   }
--- a/src/jobs/budgets.hpp
+++ b/src/jobs/budgets.hpp
@@ -26,6 +26,8 @@
   void on_generation();
   /// The newest generation that lost a member, or got another leader: what was granted before it must be found again.
   std::uint64_t lost_since() const { return lost_since_; }
+  /// We lead, and grant nothing more until then.
+  bool recovering() const { return membership_.leads() && !recovered_; }
 
  private:
   struct Local {
--- a/src/jobs/placer.cpp
+++ b/src/jobs/placer.cpp
@@ -275,6 +275,8 @@
 /// Lower rank gives way to urgent work; what yields, to all of higher rank. And what a team without a guarantee runs is
 /// always beyond its guarantee, so that it may be stopped to give another team its own.
 bool Placer::gives_way(const wire::JobSpec& victim, const wire::JobSpec& job) {
+  // A gang of which one task was stopped while others completed can never be together again.
+  if (victim.gang) return false;
   if (victim.rank < job.rank && (job.rank >= wire::Rank::Urgent || settings_.yields(victim))) return true;
   return settings_.guest(victim.team) && !settings_.guest(job.team) && within_guarantee(job);
 }
--- a/src/machines/registry.cpp
+++ b/src/machines/registry.cpp
@@ -67,16 +67,18 @@
   last_awake_ = now;
 }
 
-std::vector<std::string> Registry::set_record(const std::string& record, std::map<std::string, bool> machines) {
+std::vector<std::string> Registry::set_record(const std::string& record, std::map<std::string, bool> machines, std::uint64_t generation) {
   auto& stands = records_[record];
   const auto before = std::exchange(stands, std::move(machines));
   const auto& after = stands;
   for (const auto& [name, spot] : after) {
     if (before.contains(name)) continue;
-    auto& known = registered_[name];
+    auto [it, first] = registered_.try_emplace(name);
+    auto& known = it->second;
+    if (first) known.generation = generation;
     ++known.records;
     known.spot = spot;
-    if (auto it = views_.find(name); it != views_.end()) it->second.registered = true;
+    if (auto view = views_.find(name); view != views_.end()) view->second.registered = true;
   }
   std::vector<std::string> out;
   for (const auto& [name, spot] : before) {
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -81,8 +81,9 @@
   const std::unordered_map<std::string, View>& views() const { return views_; }
 
   /// Takes one record of machines as it stands now; the machines that no record names any more are returned.
-  /// Each with whether it is a spot machine.
-  std::vector<std::string> set_record(const std::string& record, std::map<std::string, bool> machines);
+  /// Each with whether it is a spot machine. `generation`: the one that the mirror had shown before this record; 0 at the
+  /// first reading, which tells nothing of when a machine was written down.
+  std::vector<std::string> set_record(const std::string& record, std::map<std::string, bool> machines, std::uint64_t generation = 0);
   /// The records that name this machine, with all that they name.
   std::map<std::string, std::map<std::string, bool>> records_of(const std::string& machine) const;
   /// The machine was given back: it and all on it are gone for good, its name is never used again.
@@ -92,6 +93,7 @@
   struct Registered {
     unsigned records = 0;  ///< that name it
     bool spot = false;
+    std::uint64_t generation = 0;  ///< it was written down in this one or a later one, hence never commanded before
   };
   const std::map<std::string, Registered>& all_registered() const { return registered_; }
   void heard(const std::string& machine, net::Time now);
