--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -153,7 +153,7 @@
     auto settings = settings_for_tests();
     settings.teams = {{"red", {}}, {"blue", {}}};
     settings.tuning.short_share = 0.17;
-    Cluster cluster(world, settings, {.scripted = true});
+    Cluster cluster(world, settings, {.fails = 0});
     cluster.stop_arrivals();
     cluster.run(60s);
     finish_first_job(cluster);
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -11,9 +11,9 @@
 };
 constexpr Kind kKinds[] = {{"small", 8, 16}, {"large", 16, 64}};
 const Kind& kind(const std::string& name) { return name == kKinds[0].name ? kKinds[0] : kKinds[1]; }
-constexpr std::size_t kPerPool = 4;  ///< machines to be had of each type, zone and kind
 constexpr double kListLag = 3;
 constexpr auto kGangWait = 20s;
+constexpr auto kDeadShown = 30s;
 }  // namespace
 
 wire::Settings settings_for_tests() {
@@ -59,17 +59,19 @@
     const auto side = to == cluster_.settings_.state ? Side::State : to == cluster_.settings_.cloud ? Side::Cloud : Side::Workers;
     auto& c = cluster_;
     const auto node = node_;
-    auto answer = [this, alive = alive_, &c, node, side, finish](net::HttpResult r) {
+    const auto worker = side == Side::Workers ? c.workers_.find(to.substr(0, to.find(':'))) : c.workers_.end();
+    const auto zone = worker == c.workers_.end() ? std::string() : worker->second.zone;
+    auto answer = [this, alive = alive_, &c, node, side, finish, zone](net::HttpResult r) {
       c.link(node, side, [this, alive, finish, r = std::move(r)] {
         if (*alive) guard(false, [finish, r] { finish(r); })();
-      });
+      }, zone);
     };
-    c.leave(node, [&c, node, to, request = std::move(request), side, answer] {
+    c.leave(node, [&c, node, to, request = std::move(request), side, answer, zone] {
       c.link(node, side, [&c, to, request, side, answer] {
         if (side == Side::State) return c.state_.handle(request, answer);
         if (side == Side::Cloud) return c.cloud(request, answer);
         c.orders(to.substr(0, to.find(':')), request, answer);
-      });
+      }, zone);
     });
   }
   void send_peer(const std::string& label, const json& message) override {
@@ -78,12 +80,13 @@
       if (c.nodes_[i].settings.label != label) continue;
       c.leave(node_, [&c, i, node = node_, message] {
         c.link(node, Side::Peers, [&c, i, message] {
+          if (c.nodes_[i].deaf) return;
           c.link(i, Side::Peers, [&c, i, message] {
             c.within(i, false, [&c, i, message] {
               if (c.nodes_[i].controller) c.nodes_[i].controller->from_peer(message);
             });
           });
-        });
+        }, c.nodes_[i].settings.zone);
       });
     }
   }
@@ -130,8 +133,13 @@
 
 // ---- network and processes ----
 
-void Cluster::link(std::size_t node, Side side, std::function<void()> deliver) {
+void Cluster::link(std::size_t node, Side side, std::function<void()> deliver, const std::string& to_zone) {
   auto& n = nodes_[node];
+  // State service and cloud belong to no zone.
+  const bool inside = !cut_zone_.empty() && n.settings.zone == cut_zone_;
+  const bool other_inside = !cut_zone_.empty() && to_zone == cut_zone_;
+  const bool crosses = side == Side::Workers || !to_zone.empty() ? inside != other_inside : inside && side != Side::Peers;
+  if (crosses) return at_border_.push_back(std::move(deliver));
   if (n.cut[side] > 0) {
     if (n.hold) n.held[side].push_back(std::move(deliver));
     return;
@@ -194,6 +202,38 @@
   });
 }
 
+void Cluster::deafen(std::size_t node, Duration time) {
+  nodes_[node].deaf = true;
+  world_.at(time, [this, node] { nodes_[node].deaf = false; });
+}
+
+void Cluster::cut_zone(const std::string& zone, Duration time) {
+  if (!cut_zone_.empty()) return;
+  cut_zone_ = zone;
+  world_.at(time, [this] {
+    cut_zone_.clear();
+    for (auto& deliver : std::exchange(at_border_, {})) world_.at(latency(), std::move(deliver));
+  });
+}
+
+void Cluster::kill_machines(std::size_t count) {
+  std::vector<Worker*> up;
+  for (auto& [name, w] : workers_)
+    if (w.up) up.push_back(&w);
+  std::shuffle(up.begin(), up.end(), world_.random);
+  for (std::size_t i = 0; i < std::min(count, up.size()); ++i) {
+    auto& w = *up[i];
+    drop_all(w);
+    w.up = false;
+    w.died = world_.now();
+    w.while_hung.clear();
+  }
+}
+
+std::size_t Cluster::up_machines() const {
+  return static_cast<std::size_t>(std::count_if(workers_.begin(), workers_.end(), [](const auto& w) { return w.second.up; }));
+}
+
 void Cluster::state_outage(Duration time) {
   if (++outages_ == 1) state_.set_outage(true);
   world_.at(time, [this] {
@@ -229,7 +269,7 @@
 }
 
 void Cluster::to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout,
-                            std::function<void(net::HttpResult)> done) {
+                            std::function<void(net::HttpResult)> done, const std::string& zone) {
   auto once = std::make_shared<std::function<void(net::HttpResult)>>(std::move(done));
   auto finish = [once](net::HttpResult r) {
     if (!*once) return;
@@ -237,22 +277,22 @@
     d(std::move(r));
   };
   world_.at(timeout, [finish] { finish({0, true, {}}); });
-  auto deliver = [this, node, side, request, finish] {
+  auto deliver = [this, node, side, request, finish, zone] {
     auto& n = nodes_[node];
     if (!n.controller) return finish({0, false, {}});
-    within(node, false, [this, node, side, request, finish] {
+    within(node, false, [this, node, side, request, finish, zone] {
       auto& n = nodes_[node];
       if (!n.controller) return;
-      n.controller->serve(request, [this, node, side, finish](net::HttpResponse r) {
-        leave(node, [this, node, side, finish, r] {
+      n.controller->serve(request, [this, node, side, finish, zone](net::HttpResponse r) {
+        leave(node, [this, node, side, finish, zone, r] {
           auto back = [finish, r] { finish({r.status, true, r.body}); };
-          if (side == Side::Workers) return link(node, side, back);
+          if (side == Side::Workers) return link(node, side, back, zone);
           world_.at(latency(), back);
         });
       });
     });
   };
-  if (side == Side::Workers) return link(node, side, deliver);
+  if (side == Side::Workers) return link(node, side, deliver, zone);
   world_.at(latency(), deliver);  // users are never cut off by the troubles of these tests
 }
 
@@ -263,7 +303,7 @@
   for (const auto& [name, w] : workers_)
     if (!w.gone)
       hosts.push_back({{"uid", name}, {"address", w.address}, {"flavor", w.type}, {"district", w.zone}, {"reclaimable", w.spot},
-                       {"phase", w.up ? "running" : "booting"}, {"heldS", net::to_seconds(world_.now() - w.rented).count()}});
+                       {"phase", w.up ? "running" : !w.died ? "booting" : world_.now() - *w.died > kDeadShown ? "failed" : "running"}, {"heldS", net::to_seconds(world_.now() - w.rented).count()}});
   snapshots_.push_front({{"hosts", hosts}, {"truncated", false}});
   if (snapshots_.size() > 2 * kListLag + 1) snapshots_.pop_back();
   world_.at(1s, [this] { snapshot(); });
@@ -290,7 +330,7 @@
       return !w.second.gone && w.second.type == type && w.second.zone == zone && w.second.spot == spot;
     }));
     json hosts = json::array();
-    for (auto n = body.at("howMany").get<std::size_t>(); n > 0 && have < kPerPool; --n, ++have) {
+    for (auto n = body.at("howMany").get<std::size_t>(); n > 0 && have < options_.per_pool; --n, ++have) {
       char text[16];
       std::snprintf(text, sizeof text, "n-%06u", static_cast<unsigned>(next_machine_++));
       auto& w = workers_[text];
@@ -400,7 +440,7 @@
           world_.at(1s, [this, name] { report(name); });
         }
       });
-    });
+    }, w.zone);
   });
 }
 
@@ -552,7 +592,7 @@
   const auto node = world_.below(nodes_.size());
   const auto time = seconds(world_.uniform(2, 30));
   const bool hold = world_.chance(0.5);
-  switch (world_.below(14)) {
+  switch (world_.below(18)) {
     case 0: return crash(node, seconds(world_.uniform(0.5, 15)));
     case 1:
       for (std::size_t i = 0; i < nodes_.size(); ++i) crash(i, seconds(world_.uniform(1, 6)));
@@ -569,6 +609,12 @@
     case 9: return take_machine(world_.chance(0.5));
     case 10: return make_sick(time);
     case 11: return freeze(node, seconds(world_.uniform(1, 40)));
+    case 13: return deafen(node, time);
+    case 14: return cut_zone(settings_.zones[world_.below(settings_.zones.size())], seconds(world_.uniform(5, 40)));
+    case 15: return kill_machines(1 + world_.below(5));
+    case 16:  // a link that comes and goes
+      for (int i = 0; i < 5; ++i) world_.at(seconds(5.0 * i), [this, node] { cut(node, Side::Peers, false, seconds(world_.uniform(1, 4))); });
+      return;
     case 12: return freeze(leader(), seconds(world_.uniform(5, 15)));
     default:  // one after the other
       for (std::size_t i = 0; i < nodes_.size(); ++i) world_.at(seconds(4.0 * static_cast<double>(i)), [this, i] { crash(i, 1s); });
@@ -611,7 +657,7 @@
   auto& job = jobs_[uid];
   job.spec = spec;
   job.run_s = std::max(2.0, spec.estimate.count() * world_.uniform(0.4, 1.6));
-  job.always_fails = !options_.scripted && !spec.service && world_.chance(0.04);
+  job.always_fails = !options_.scripted && !spec.service && world_.chance(options_.fails);
   job.last_answer = world_.now();
   rules_.submitted(spec);
   try_submit(uid);
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -16,7 +16,9 @@
   struct Options {
     std::size_t controllers = 3;
     std::size_t log_size = 10'000;
+    std::size_t per_pool = 4;   ///< machines to be had of each type, zone and kind
     double lambda_s = 6;  ///< mean time between submissions
+    double fails = 0.04;  ///< share of jobs submitted with a mistake: they fail on every machine
     bool scripted = false;  ///< jobs neither fail nor are cancelled by chance
   };
   Cluster(World& world, wire::Settings settings, Options options);
@@ -32,6 +34,12 @@
   /// The process stands still within its next callback, while its clock and its timers run on: what that callback
   /// sends leaves when it goes on, and then timers fire before anything that came meanwhile is read.
   void freeze(std::size_t node, Duration time);
+  /// What others say to this controller is lost on the way; what it says arrives.
+  void deafen(std::size_t node, Duration time);
+  /// Nothing crosses the border of the zone; it is held and arrives afterwards.
+  void cut_zone(const std::string& zone, Duration time);
+  /// Machines stop for good. The cloud lists them as running for 30 s more, then as failed.
+  void kill_machines(std::size_t count);
   void state_outage(Duration time);
   void cloud_outage(Duration time);
   void hang(Duration time);
@@ -46,6 +54,7 @@
   std::vector<std::string> unfinished() const;
   /// Tasks of each job that run on some machine now, whoever knows of it.
   std::map<std::string, std::uint32_t> running() const;
+  std::size_t up_machines() const;
   std::size_t up_controllers() const;
   /// The controller that leads, as it sees it itself.
   std::size_t leader() const;
@@ -74,6 +83,7 @@
     std::set<std::string> images;
     std::deque<std::function<void()>> while_hung;
     Time rented{};
+    std::optional<Time> died;
   };
   struct NodeProcess {
     std::unique_ptr<Runtime> runtime;
@@ -83,6 +93,7 @@
     std::map<Side, std::vector<std::function<void()>>> held;
     bool hold = false;
     std::uint64_t start = 0;
+    bool deaf = false;
     Duration freeze_next{};
     bool frozen = false;
     std::vector<std::function<void()>> unsent, late_timers, unread;  ///< while it stands still
@@ -101,9 +112,10 @@
   void within(std::size_t node, bool timer, std::function<void()> act);
   void wake(std::size_t node);
   void leave(std::size_t node, std::function<void()> send);
-  void link(std::size_t node, Side side, std::function<void()> deliver);
+  void link(std::size_t node, Side side, std::function<void()> deliver, const std::string& to_zone = {});
   Duration latency() { return seconds(world_.uniform(0.001, 0.01)); }
-  void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout, std::function<void(net::HttpResult)> done);
+  void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout, std::function<void(net::HttpResult)> done,
+                     const std::string& zone = {});
 
   void cloud(const net::HttpRequest& request, const StateService::Answer& answer);
   void snapshot();
@@ -138,6 +150,8 @@
   std::map<std::string, UserJob> jobs_;
   std::map<std::string, json> hires_;
   std::deque<json> snapshots_;
+  std::string cut_zone_;
+  std::vector<std::function<void()>> at_border_;
   bool cloud_down_ = false;
   bool arrivals_ = true;
   int outages_ = 0;
