--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -87,7 +87,7 @@
     // voids them; until a report shows it, nothing is cleared here.
     h.clean_from = std::max({h.clean_from, report.mandate + 1, cluster::mandate_base(generation)});
     h.fence = std::max(h.fence, h.clean_from);
-    h.moved_here = true;
+    h.moved_here = report.mandate != 0;  // a new machine holds nothing that could be asked for
     spdlog::debug("machine {} now reports here, generation {}", report.machine, generation);
   }
   if (h.respond) h.respond({503, {}, 0, {}});
@@ -320,7 +320,7 @@
   respond({200, wire::orders_body(mandate_for(h, *view), orders).dump(), 0, {}});
   // It has come from a controller that was lost, or out of a cut. A worker tells of a higher mandate by itself only once
   // in half a lease: asked for it now, what it holds is known a report's interval sooner.
-  if (cluster::generation_of(view->report.mandate) < membership_.generation().number && std::exchange(h.moved_here, false)) {
+  if (std::exchange(h.moved_here, false) && cluster::generation_of(view->report.mandate) < membership_.generation().number) {
     h.announce = true;
     flush_soon(machine);
   }
--- /dev/null
+++ b/tests/handover/holdup_test.cpp
@@ -0,0 +1,57 @@
+#include "handover/holdup.hpp"
+
+#include <gtest/gtest.h>
+
+namespace limemast::handover {
+namespace {
+using namespace std::chrono_literals;
+constexpr net::Time kStart{1000s};
+const std::map<std::string, std::size_t> kFleet{{"a", 100}, {"b", 100}, {"c", 100}};
+
+std::vector<Unproven> machines(std::size_t count, const std::string& zone, bool silent = true) {
+  std::vector<Unproven> out;
+  for (std::size_t i = 0; i < count; ++i) out.push_back({zone + std::to_string(i), zone, silent});
+  return out;
+}
+
+class HoldupTest : public testing::Test {
+ protected:
+  /// What is given up within a minute of looking each half second.
+  std::size_t within_a_minute(const std::vector<Unproven>& unproven) {
+    for (int i = 0; i < 120; ++i)
+      if (const auto out = holdup_.judge(7, unproven, kFleet, kStart + i * 500ms); !out.empty()) return out.size();
+    return 0;
+  }
+  Holdup holdup_{5s};
+};
+
+TEST_F(HoldupTest, FewThatAreSilentAreGivenUpAfterTwoReports) {
+  const auto dead = machines(20, "a");
+  EXPECT_TRUE(holdup_.judge(7, dead, kFleet, kStart).empty());
+  EXPECT_TRUE(holdup_.judge(7, dead, kFleet, kStart + 10s).empty());
+  EXPECT_EQ(holdup_.judge(7, dead, kFleet, kStart + 11s).size(), 20u);
+}
+
+TEST_F(HoldupTest, AZoneThatIsCutOffIsWaitedFor) { EXPECT_EQ(within_a_minute(machines(51, "a")), 0u); }
+TEST_F(HoldupTest, AControllerThatIsNotHeardIsWaitedFor) {
+  auto behind = machines(34, "a");
+  for (const auto* zone : {"b", "c"})
+    for (const auto& m : machines(34, zone)) behind.push_back(m);
+  EXPECT_EQ(within_a_minute(behind), 0u);
+}
+TEST_F(HoldupTest, WhoIsHeardIsNeverGivenUp) { EXPECT_EQ(within_a_minute(machines(20, "a", false)), 0u); }
+
+TEST_F(HoldupTest, WhileMachinesShowThemselvesNothingIsHeldUp) {
+  for (std::size_t left = 30; left > 10; --left) EXPECT_TRUE(holdup_.judge(7, machines(left, "b"), kFleet, kStart + (31 - left) * 1s).empty());
+  EXPECT_EQ(holdup_.judge(7, machines(10, "b"), kFleet, kStart + 20s).size(), 0u);
+  EXPECT_EQ(holdup_.judge(7, machines(10, "b"), kFleet, kStart + 26s).size(), 10u);
+}
+
+TEST_F(HoldupTest, ANewGenerationBeginsAnew) {
+  const auto dead = machines(3, "a");
+  EXPECT_TRUE(holdup_.judge(7, dead, kFleet, kStart).empty());
+  EXPECT_TRUE(holdup_.judge(8, dead, kFleet, kStart + 11s).empty());
+  EXPECT_EQ(holdup_.judge(8, dead, kFleet, kStart + 22s).size(), 3u);
+}
+}  // namespace
+}  // namespace limemast::handover
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -148,7 +148,7 @@
 TEST(KeptFree, NewReplicasStopFewShortTasks) {
   set_log_level();
   std::size_t begun_anew = 0;
-  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 32; ++seed) {
     World world(seed);
     auto settings = settings_for_tests();
     settings.teams = {{"red", {}}, {"blue", {}}};
@@ -182,7 +182,7 @@
     EXPECT_EQ(broken(cluster.rules()), "");
     begun_anew += cluster.rules().starts() - before - array.tasks - replicas;
   }
-  EXPECT_LE(begun_anew, 38u);  // 30; 49 where nothing was kept free
+  EXPECT_LE(begun_anew, 295u);  // 266; 323 where nothing was kept free
 }
 
 // A team's limit was granted to its owners eight tasks at a time, once for each look of the placement: machines that were up
