--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -53,6 +53,8 @@
   if (membership_.generation().leader != membership_.self() || leading_) return;
   leading_ = true;
   led_since_ = runtime_.now();
+  // What the leader before us had closed, to give it back, nobody would give back any more, nor open again.
+  registry_.set_closed({});
   for (const auto& [name, records] : registry_.all_registered()) machines_.try_emplace(name).first->second.since = runtime_.now();
 }
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -21,6 +21,8 @@
 constexpr unsigned kFailsEverywhere = 3;  ///< machines
 constexpr auto kTrial = 3s;
 constexpr unsigned kAttemptBits = 24;
+/// A probe that was lost on a broken link is never pulled, and would keep its machine from being probed anew.
+constexpr auto kProbesLost = 30s;
 constexpr auto kLimitSeen = 2s;  ///< a pull that the budget refused comes again after one
 }  // namespace
 
@@ -479,6 +481,7 @@
     if (job) job->probes.erase(machine);
     return none(true);
   }
+  job->stirred = runtime_.now();
   if (!may_hand_out(*job) || !view || view->host != from || view->report.tenure != m.at("tenure").get<std::uint64_t>() ||
       !registry_.registered(machine) || !may_place(*job, *view) || !within_budget(*job))
     return none(false);
@@ -582,8 +585,15 @@
   }
 }
 
+void Book::renew_probes(Job& job) {
+  std::vector<std::string> machines;
+  for (const auto& [machine, host] : job.probes) machines.push_back(machine);
+  send_probes(job, machines, 1);
+}
+
 void Book::send_probes(Job& job, const std::vector<std::string>& machines, int stage) {
   const auto& s = job.open.spec;
+  job.stirred = runtime_.now();
   std::map<Tag, json> by_host;
   for (const auto& machine : machines) {
     const auto* view = registry_.find(machine);
@@ -763,6 +773,7 @@
       const auto* view = registry_.find(p.first);
       return !view || view->host != p.second;
     });
+    if (!job->probes.empty() && now - job->stirred > kProbesLost && membership_.entitled()) renew_probes(*job);
     left.push_back(job.get());
     if (ledger_.on()) note_wait(*job);
     if (membership_.entitled()) probe(*job);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -56,6 +56,7 @@
   bool probed = false;           ///< its first probes, drawn from all machines, are out
   bool dirty = false;
   std::map<std::string, Tag> probes;           ///< machine -> the controller that queues it
+  net::Time stirred{};           ///< when a probe of it was last sent, or pulled
   std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
   net::Time not_before{};
   net::Duration longest_failure{};  ///< the longest that a task of it ran before it failed
@@ -152,6 +153,8 @@
   void record_progress();
   void load_progress();
   void probe(Job& job);
+  /// Tells the hosts of its probes once more: what they have already they keep.
+  void renew_probes(Job& job);
   void send_probes(Job& job, const std::vector<std::string>& machines, int stage);
   /// Up to `count` probes to machines that the freshest map shows free of long tasks, then the short part, and
   /// where there are none of these, anywhere.
--- a/tests/operate/console_cluster.hpp
+++ b/tests/operate/console_cluster.hpp
@@ -13,14 +13,12 @@
  public:
   SimApi(standins::Cluster& cluster, std::size_t node) : cluster_(cluster), node_(node) {}
   void call(const std::string& method, const std::string& path, const std::string& body, Done done) override {
-    bool answered = false;
-    net::HttpResponse out;
-    cluster_.ask(node_, {method, "/operator/v1/" + path, body}, [&](net::HttpResponse r) {
-      out = std::move(r);
-      answered = true;
-    });
-    for (int i = 0; i < 500 && !answered; ++i) cluster_.run(std::chrono::milliseconds(10));
-    done({answered ? out.status : 0, out.body, "node-" + std::to_string(node_)});
+    // Shared: an answer may come after we have given up.
+    auto out = std::make_shared<std::optional<net::HttpResponse>>();
+    cluster_.ask(node_, {method, "/operator/v1/" + path, body}, [out](net::HttpResponse r) { *out = std::move(r); });
+    for (int i = 0; i < 500 && !*out; ++i) cluster_.run(std::chrono::milliseconds(10));
+    const auto answer = out->value_or(net::HttpResponse{0, {}, 0, {}});
+    done({answer.status, answer.body, "node-" + std::to_string(node_)});
   }
   wire::json get(const std::string& path, int status = 200) {
     wire::json out;
