--- /dev/null
+++ b/tests/model/model.cpp
@@ -0,0 +1,264 @@
+#include "model/model.hpp"
+
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace limemast::model {
+namespace {
+constexpr std::uint8_t kFresh = 2;  ///< ticks
+constexpr std::uint8_t kHold = 2;
+
+std::string key_of(const State& s) {
+  std::string key;
+  auto put = [&](unsigned v) { key.push_back(static_cast<char>(v)); };
+  for (const auto& n : s.nodes)
+    for (unsigned v : {unsigned{n.generation}, unsigned{n.leader}, unsigned{n.has_grant}, unsigned{n.fresh}, unsigned{n.frozen}, unsigned{n.bound},
+                       unsigned{n.shown}, unsigned{n.told_end}, unsigned{n.hold}, unsigned{n.answer}})
+      put(v);
+  for (unsigned v : {unsigned{s.machines[0].mandate}, unsigned{s.machines[0].runs}, unsigned{s.machines[1].mandate}, unsigned{s.machines[1].runs}, unsigned{s.grant[0]}, unsigned{s.grant[1]},
+                     unsigned{s.generation}, unsigned{s.leader}, unsigned{s.member[0]}, unsigned{s.member[1]}, unsigned{s.suspect[0]},
+                     unsigned{s.suspect[1]}, unsigned{s.final}, unsigned{s.away}, unsigned{s.order[0]}, unsigned{s.order[1]},
+                     unsigned{s.user_told_end}, unsigned{s.went_back}, unsigned{s.away_left},
+                     unsigned{s.freezes_left}, unsigned{s.ticks_left}})
+    put(v);
+  return key;
+}
+
+/// All that may happen next. `emit` gets each with the name of the step.
+class Steps {
+ public:
+  using Emit = std::function<void(const char*, const State&)>;
+  Steps(const Variant& variant, Emit emit) : variant_(variant), emit_(std::move(emit)) {}
+
+  void from(const State& s) {
+    world(s);
+    for (std::size_t i = 0; i < 2; ++i) {
+      if (s.nodes[i].frozen) {
+        auto t = s;
+        t.nodes[i].frozen = false;
+        emit_("wakes", t);
+        continue;
+      }
+      membership(s, i);
+      verdict(s, i);
+      work(s, i);
+      users(s, i);
+    }
+  }
+
+ private:
+  bool entitled(const State& s, std::size_t i) const {
+    const auto& n = s.nodes[i];
+    return n.has_grant && n.generation > 0;
+  }
+  bool certain(const State& s, std::size_t i) const { return entitled(s, i) && (!variant_.certain || s.nodes[i].fresh > 0); }
+  bool served(const State& s) const { return !s.away; }
+
+  void world(const State& s) {
+    if (s.ticks_left > 0) {
+      auto t = s;
+      --t.ticks_left;
+      for (auto& n : t.nodes) {
+        n.fresh -= n.fresh > 0;
+        n.hold -= n.hold > 0;
+      }
+      emit_("time passes", t);
+    }
+    if (!s.away && s.away_left > 0) {
+      auto t = s;
+      t.away = true;
+      --t.away_left;
+      emit_("state service away", t);
+    }
+    if (s.away) {
+      auto t = s;
+      t.away = false;
+      emit_("state service back", t);
+    }
+    // An order arrives, in time, late or once more: the machine drops what bears a lower mandate than it has seen.
+    for (std::size_t i = 0; i < 2; ++i) {
+      if (s.order[i] == 0) continue;
+      if (s.order[i] >= s.machines[i].mandate) {
+        auto t = s;
+        t.machines[i] = {s.order[i], true};
+        emit_("order arrives", t);
+      }
+      auto lost = s;
+      lost.order[i] = 0;
+      emit_("order is lost", lost);
+    }
+  }
+
+  void membership(const State& s, std::size_t i) {
+    const auto& n = s.nodes[i];
+    if (served(s) && s.grant[i] && n.has_grant && n.fresh < kFresh) {
+      auto t = s;
+      t.nodes[i].fresh = kFresh;
+      emit_("renews", t);
+    }
+    if (served(s) && !s.grant[i] && n.has_grant) {
+      auto t = s;
+      t.nodes[i].has_grant = false;  // it starts anew and remembers nothing: that run is over
+      t.nodes[i].bound = 0;
+      t.nodes[i].answer = 0;
+      emit_("learns its end", t);
+    }
+    if (served(s) && n.has_grant && s.member[i] && n.generation < s.generation) {
+      auto t = s;
+      auto& m = t.nodes[i];
+      m.generation = s.generation;
+      m.leader = s.leader;
+      m.shown = 0;
+      m.told_end = m.told_end || s.final != 0;  // whoever sees a generation has seen all that was written before it
+      if (!s.member[1 - i]) m.hold = kHold;
+      emit_("sees the generation", t);
+    }
+    // The other's node key is gone: a generation without it.
+    if (served(s) && s.grant[i] && entitled(s, i) && !s.grant[1 - i] && s.member[1 - i]) {
+      auto t = s;
+      t.member[1 - i] = false;
+      t.leader = static_cast<std::uint8_t>(i);
+      ++t.generation;
+      emit_("writes a generation", t);
+    }
+    if (s.freezes_left > 0) {
+      auto t = s;
+      t.nodes[i].frozen = true;
+      --t.freezes_left;
+      emit_("stands still", t);
+    }
+  }
+
+  void verdict(const State& s, std::size_t i) {
+    const auto other = 1 - i;
+    if (!served(s) || !s.grant[i] || !entitled(s, i)) return;
+    if (s.suspect[i] == 1) {
+      auto t = s;
+      t.suspect[i] = 0;
+      emit_("strikes out", t);
+    }
+    if (s.suspect[i] == 2) {  // a verdict on us: nothing of ours passes its fences
+      return;
+    }
+    if (s.grant[other] && s.suspect[other] == 0) {
+      auto t = s;
+      t.suspect[other] = 1;
+      emit_("suspects", t);
+    }
+    if (s.suspect[other] == 1) {
+      auto t = s;
+      t.suspect[other] = 2;
+      emit_("rules", t);
+    }
+    if (s.suspect[other] == 2 && s.grant[other]) {
+      auto t = s;
+      t.grant[other] = false;
+      emit_("ends the grant", t);
+    }
+  }
+
+  bool owns(const State& s, std::size_t i) const { return entitled(s, i) && s.nodes[i].leader == i; }
+
+  void work(const State& s, std::size_t i) {
+    const auto& n = s.nodes[i];
+    if (!owns(s, i)) return;
+    // A machine reports: it shows the new mandate to whoever is entitled, and what it runs.
+    for (std::size_t m = 0; m < 2; ++m) {
+      const auto& machine = s.machines[m];
+      if (n.generation < machine.mandate) continue;
+      auto t = s;
+      auto& me = t.nodes[i];
+      t.machines[m].mandate = n.generation;
+      me.shown = static_cast<std::uint8_t>(n.shown | 1u << m);
+      if (machine.runs && n.told_end) t.machines[m].runs = false;  // what runs of a job that has ended is killed
+      else if (machine.runs && n.bound == 0) me.bound = n.generation;  // found there and taken over
+      emit_("a machine shows itself", t);
+    }
+    const bool open = n.shown == 3 || n.generation == 1 || !variant_.gate;
+    if (n.bound == 0 && !n.told_end && open && n.answer == 0) {
+      auto t = s;
+      t.nodes[i].bound = n.generation;
+      t.nodes[i].answer = 2;
+      emit_("hands out", t);
+    }
+    if (n.answer == 2) {
+      auto t = s;
+      t.nodes[i].answer = 0;
+      // Decided under one generation and sent under it; the variant takes whatever the service says is newest.
+      t.order[i] = variant_.generation_on_orders ? n.bound : s.generation;
+      emit_("sends the order", t);
+    }
+    // A user cancels: the end is one write, on all fences.
+    const bool fences = served(s) && s.grant[i] && s.member[i] && s.generation == n.generation;
+    const bool taken_over = n.generation > 1;
+    if (fences && s.final == 0 && !(variant_.hold && taken_over && n.hold > 0)) {
+      auto t = s;
+      t.final = 1;
+      t.nodes[i].told_end = true;
+      t.user_told_end = true;
+      emit_("commits the end", t);
+    }
+  }
+
+  /// A user asks: the answer is decided, and leaves at once or when the controller wakes. An answer to a question that was
+  /// asked before the end was told is not a later answer, so only those decided after it count.
+  void users(const State& s, std::size_t i) {
+    const auto& n = s.nodes[i];
+    if (owns(s, i) && certain(s, i) && !n.told_end && s.user_told_end) {
+      auto t = s;
+      t.went_back = true;
+      emit_("tells a user that the job runs", t);
+    }
+  }
+
+  Variant variant_;
+  Emit emit_;
+};
+
+std::string rule_broken(const State& s) {
+  if (s.machines[0].runs && s.machines[1].runs) return "ran_twice";
+  if (s.went_back) return "went_back";
+  return {};
+}
+}  // namespace
+
+Outcome search(const Variant& variant, std::size_t depth) {
+  Outcome out;
+  State start;
+  for (auto& n : start.nodes) n.generation = 1;
+  start.nodes[0].shown = start.nodes[1].shown = 3;
+  for (auto& m : start.machines) m.mandate = 1;
+  struct Seen {
+    std::string from;
+    const char* step;
+  };
+  std::unordered_map<std::string, Seen> seen;
+  seen.emplace(key_of(start), Seen{{}, ""});
+  std::deque<std::pair<State, std::size_t>> todo{{start, 0}};
+  while (!todo.empty() && out.broken.empty()) {
+    auto [state, at] = std::move(todo.front());
+    todo.pop_front();
+    out.depth = at;
+    if (at == depth) continue;
+    const auto from = key_of(state);
+    Steps steps(variant, [&](const char* step, const State& next) {
+      if (!out.broken.empty() || !seen.emplace(key_of(next), Seen{from, step}).second) return;
+      if (auto rule = rule_broken(next); !rule.empty()) {
+        out.broken = rule;
+        std::string path;
+        for (auto k = key_of(next); !k.empty() && !seen.at(k).from.empty(); k = seen.at(k).from) path = std::string(seen.at(k).step) + "; " + path;
+        out.broken += ": " + path;
+        return;
+      }
+      todo.emplace_back(next, at + 1);
+    });
+    steps.from(state);
+  }
+  out.states = seen.size();
+  return out;
+}
+}  // namespace limemast::model
