--- a/src/handover/holdup.cpp
+++ b/src/handover/holdup.cpp
@@ -34,9 +34,11 @@
   for (const auto& u : unproven) silent[u.zone] += u.silent;
   std::vector<std::string> out;
   for (const auto& u : unproven) {
+    // One that was taken away under the leader before us stands in no list: nobody knows its zone, and no cut hides it.
     const auto there = registered.find(u.zone);
     const auto of = there == registered.end() ? 0 : there->second;
-    if (u.silent && static_cast<double>(silent[u.zone]) <= kCutZone * static_cast<double>(of)) out.push_back(u.machine);
+    const bool cut = !u.zone.empty() && static_cast<double>(silent[u.zone]) > kCutZone * static_cast<double>(of);
+    if (u.silent && !cut) out.push_back(u.machine);
   }
   return out;
 }
--- a/src/handover/holdup.hpp
+++ b/src/handover/holdup.hpp
@@ -9,7 +9,7 @@
 /// A machine that has not shown the new generation's mandate yet, so that what it holds is not known.
 struct Unproven {
   std::string machine;
-  std::string zone;
+  std::string zone;     ///< "": not known
   bool silent = false;  ///< nobody has heard it for longer than two reports take
 };
 
--- a/tests/handover/holdup_test.cpp
+++ b/tests/handover/holdup_test.cpp
@@ -32,6 +32,8 @@
   EXPECT_EQ(holdup_.judge(7, dead, kFleet, kStart + 11s).size(), 20u);
 }
 
+// Taken away before this leader's time, it was in no list and had no zone, and held up a fleet for half a minute.
+TEST_F(HoldupTest, OneOfNoKnownZoneIsGivenUp) { EXPECT_EQ(within_a_minute(machines(1, "")), 1u); }
 TEST_F(HoldupTest, AZoneThatIsCutOffIsWaitedFor) { EXPECT_EQ(within_a_minute(machines(51, "a")), 0u); }
 TEST_F(HoldupTest, AControllerThatIsNotHeardIsWaitedFor) {
   auto behind = machines(34, "a");
