--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t kManyOverdue = 2;
 constexpr auto kTellHoldup = 5s;
 constexpr double kSilentReports = 2.5;  ///< without a report for so many intervals a machine is silent
+constexpr double kUnheardReports = 1.5; ///< the same where work waits for it: the longest interval, and one refusal
 constexpr auto kSilentSlack = 5s;       ///< for machines of which this leader has never heard
 }  // namespace
 
@@ -204,7 +205,7 @@
     ++registered[zone];
     if (book_.knows(name, generation) || gone_.contains(name)) continue;
     const auto* view = registry_.find(name);
-    const bool silent = !view || runtime_.now() - view->heard > 2 * net::to_duration(settings_.report);
+    const bool silent = !view || runtime_.now() - view->heard > net::to_duration(settings_.report * kUnheardReports) + 1s;
     unproven.push_back({name, zone, silent});
   }
   if (runtime_.now() - told_holdup_ > kTellHoldup) {
--- a/src/handover/holdup.cpp
+++ b/src/handover/holdup.cpp
@@ -3,10 +3,10 @@
 namespace limemast::handover {
 namespace {
 using namespace std::chrono_literals;
-/// A living machine comes to another controller within a report's interval, the time until the lost one's silence is
-/// noticed and the next report; with direct commands much sooner.
-constexpr double kPatienceReports = 2;
-constexpr auto kPatience = 1s;
+/// A living machine reports within an interval and a quarter, is refused, comes to another controller a second later, and
+/// is asked there at once to show what it holds.
+constexpr double kPatienceReports = 1.25;
+constexpr auto kPatience = 2500ms;
 /// While machines still show themselves one after the other, nothing is held up.
 constexpr double kQuietReports = 0.75;
 /// More than this share of a zone silent: the zone is cut off, or its controller is, and its machines live on.
--- a/src/handover/holdup.hpp
+++ b/src/handover/holdup.hpp
@@ -10,7 +10,7 @@
 struct Unproven {
   std::string machine;
   std::string zone;     ///< "": not known
-  bool silent = false;  ///< nobody has heard it for longer than two reports take
+  bool silent = false;  ///< nobody has heard it for longer than a report and a refusal take
 };
 
 /// Decides which machines a takeover stops waiting for. Work that was taken over is handed out only when every machine
