--- a/src/handover/holdup.cpp
+++ b/src/handover/holdup.cpp
@@ -3,10 +3,10 @@
 namespace limemast::handover {
 namespace {
 using namespace std::chrono_literals;
-/// A living machine comes to another controller within a report's interval, the time until the lost one's silence is
-/// noticed and the next report; with direct commands much sooner.
-constexpr double kPatienceReports = 2;
-constexpr auto kPatience = 1s;
+/// A living machine reports within an interval and a quarter, is refused, comes to another controller a second later, and
+/// is asked there at once to show what it holds.
+constexpr double kPatienceReports = 1.25;
+constexpr auto kPatience = 2500ms;
 /// While machines still show themselves one after the other, nothing is held up.
 constexpr double kQuietReports = 0.75;
 /// More than this share of a zone silent: the zone is cut off, or its controller is, and its machines live on.
@@ -34,9 +34,11 @@
   for (const auto& u : unproven) silent[u.zone] += u.silent;
   std::vector<std::string> out;
   for (const auto& u : unproven) {
+    // One that was taken away under the leader before us stands in no list: nobody knows its zone, and no cut hides it.
     const auto there = registered.find(u.zone);
     const auto of = there == registered.end() ? 0 : there->second;
-    if (u.silent && static_cast<double>(silent[u.zone]) <= kCutZone * static_cast<double>(of)) out.push_back(u.machine);
+    const bool cut = !u.zone.empty() && static_cast<double>(silent[u.zone]) > kCutZone * static_cast<double>(of);
+    if (u.silent && !cut) out.push_back(u.machine);
   }
   return out;
 }
--- a/src/handover/holdup.hpp
+++ b/src/handover/holdup.hpp
@@ -9,8 +9,8 @@
 /// A machine that has not shown the new generation's mandate yet, so that what it holds is not known.
 struct Unproven {
   std::string machine;
-  std::string zone;
-  bool silent = false;  ///< nobody has heard it for longer than two reports take
+  std::string zone;     ///< "": not known
+  bool silent = false;  ///< nobody has heard it for longer than a report and a refusal take
 };
 
 /// Decides which machines a takeover stops waiting for. Work that was taken over is handed out only when every machine
