A thousand machines in the simulator; up to two fifths of silent machines are given up after a takeover

Cause: with a third of the fleet dead and all controllers restarted, replicas were back after 53 s, as a fifth was the most that was given up. Measured in the simulator: 24 s.

--- a/src/handover/holdup.cpp
+++ b/src/handover/holdup.cpp
@@ -12,7 +12,7 @@
 /// More than this share of a zone silent: the zone is cut off, or its controller is, and its machines live on.
 constexpr double kCutZone = 0.5;
 /// More than this share of all silent: it is we who do not hear.
-constexpr double kMostOfAll = 0.2;
+constexpr double kMostOfAll = 0.4;
 }  // namespace
 
 std::vector<std::string> Holdup::judge(std::uint64_t generation, const std::vector<Unproven>& unproven,
--- /dev/null
+++ b/tests/handover/fleet_test.cpp
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+
+#include "standins/cluster.hpp"
+
+namespace limemast {
+namespace {
+using namespace standins;
+using namespace std::chrono_literals;
+
+// A fleet of 1,200 machines in CI's time: all controllers are restarted while a third of it dies. Everything that was taken over
+// waited until the last of four hundred dead machines had been silent for a lease and more.
+TEST(LargeFleet, AllControllersRestartWhileAThirdDies) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::info : spdlog::level::off);
+  const auto begun = std::chrono::steady_clock::now();
+  World world(1);
+  auto settings = settings_for_tests();
+  settings.teams = {{"red", {4000, 16000, 0, 0}}, {"blue", {}}};
+  settings.report = wire::Seconds(5);
+  settings.lease = wire::Seconds(26);
+  settings.cancel = wire::Seconds(51);
+  settings.state_rps = 400;
+  settings.state_write_rps = 150;
+  settings.value_kb = 32;
+  settings.txn_ops = 24;
+  settings.cloud_rps = 20;
+  settings.tuning.idle_return = wire::Seconds(300);
+  Cluster cluster(world, settings, {.per_pool = 100, .scripted = true});
+  cluster.stop_arrivals();
+  cluster.run(5s);
+  auto submit = [&](std::uint32_t tasks, const std::string& team, bool service, double estimate) {
+    auto s = cluster.random_job();
+    s.team = team;
+    s.service = service;
+    s.rank = service ? wire::Rank::Production : wire::Rank::Standard;
+    s.spot = !service;
+    s.spread = s.one_zone = false;
+    s.zone.reset();
+    s.types.reset();
+    s.tasks = tasks;
+    s.cpus = 2;
+    s.estimate = wire::Seconds(estimate);
+    cluster.submit(s);
+    return s.uid;
+  };
+  std::vector<std::string> services;
+  for (int i = 0; i < 20; ++i) services.push_back(submit(100, i % 2 ? "red" : "blue", true, 0));
+  for (int i = 0; i < 30; ++i) submit(150, "red", false, 150);
+  cluster.run(100s);
+  const auto machines = cluster.up_machines();
+  ASSERT_GT(machines, 1000u);
+  auto replicas = [&] {
+    const auto running = cluster.running();
+    std::size_t n = 0;
+    for (const auto& uid : services)
+      if (auto it = running.find(uid); it != running.end()) n += it->second;
+    return n;
+  };
+  ASSERT_GT(replicas(), 1900u);
+  cluster.kill_machines(machines / 3);
+  for (std::size_t i = 0; i < 3; ++i) cluster.crash(i, 3s);
+  const auto lost = replicas();
+  EXPECT_LT(lost, 1500u);
+  const auto at = world.now();
+  while (replicas() < 1800 && world.now() - at < 150s) cluster.run(1s);
+  const auto took = std::chrono::duration_cast<std::chrono::seconds>(world.now() - at);
+  EXPECT_LT(took, 40s);  // 24; 53 where a third of the fleet was too many to be given up
+  EXPECT_TRUE(cluster.rules().broken().empty()) << cluster.rules().broken().begin()->first << " " << cluster.rules().broken().begin()->second;
+  EXPECT_EQ(cluster.up_controllers(), 3u);
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  std::printf("%zu machines, %zu replicas left of 2000 and 1800 after %lld s (simulated), %zu starts; played in %.1f s, %ld MB\n", machines, lost,
+              static_cast<long long>(took.count()), cluster.rules().starts(),
+              std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count(), usage.ru_maxrss / 1024);
+}
+}  // namespace
+}  // namespace limemast
