--- a/src/cluster/verdicts.cpp
+++ b/src/cluster/verdicts.cpp
@@ -42,10 +42,17 @@
 }
 
 bool Verdicts::may_rule_on(const Tag& tag) const {
-  if (!membership_.entitled() || !membership_.certain() || tag == membership_.self() || !membership_.member(tag)) return false;
+  if (!membership_.certain() || tag == membership_.self() || !membership_.member(tag)) return false;
   return membership_.leads() || tag == membership_.generation().leader;
 }
 
+Verdicts::Case* Verdicts::settled(const std::string& label) {
+  const auto it = cases_.find(label);
+  if (it == cases_.end()) return nullptr;
+  it->second.busy = false;
+  return &it->second;
+}
+
 void Verdicts::on_changes(const std::vector<store::Change>& changes) {
   for (const auto& change : changes) {
     std::string label;
@@ -129,9 +136,7 @@
   c.busy = true;
   ++counts_.own_strikes;
   client_.txn(store::Priority::Vital, {{keys::suspect(label), c.stamp}, {keys::node(label), node->stamp}},
-              {{keys::suspect(label), std::nullopt, 0}}, [this, label](store::TxnResult) {
-                if (auto it = cases_.find(label); it != cases_.end()) it->second.busy = false;
-              });
+              {{keys::suspect(label), std::nullopt, 0}}, [this, label](store::TxnResult) { settled(label); });
 }
 
 void Verdicts::take_back(const std::string& label, Case& c) {
@@ -140,9 +145,8 @@
     ++counts_.taken_back;
     c.by.clear();  // its end is no refutation
   }
-  client_.txn(store::Priority::Vital, {{keys::suspect(label), c.stamp}}, {{keys::suspect(label), std::nullopt, 0}}, [this, label](store::TxnResult) {
-    if (auto it = cases_.find(label); it != cases_.end()) it->second.busy = false;
-  });
+  client_.txn(store::Priority::Vital, {{keys::suspect(label), c.stamp}}, {{keys::suspect(label), std::nullopt, 0}},
+              [this, label](store::TxnResult) { settled(label); });
 }
 
 void Verdicts::rule(const std::string& label, Case& c) {
@@ -155,22 +159,17 @@
   // Attached to no grant: it must outlast whoever wrote it, until it is carried out.
   client_.txn(store::Priority::Vital, when, {{keys::suspect(label), json{{"of", c.of}, {"by", c.by}, {"ruled", true}}, 0}},
               [this, label, of = c.of](store::TxnResult r) {
-                auto it = cases_.find(label);
-                if (it == cases_.end()) return;
-                it->second.busy = false;
-                if (r.verdict == store::Verdict::Ok && it->second.of == of) end_grant(label, it->second);
+                auto* c = settled(label);
+                if (c && r.verdict == store::Verdict::Ok && c->of == of) end_grant(label, *c);
               });
 }
 
 void Verdicts::end_grant(const std::string& label, Case& c) {
   c.busy = true;
-  auto free = [this, label] {
-    if (auto it = cases_.find(label); it != cases_.end()) it->second.busy = false;
-  };
-  client_.get(store::Priority::Vital, keys::node(label), [this, label, of = c.of, free](store::GetResult g) {
+  client_.get(store::Priority::Vital, keys::node(label), [this, label, of = c.of](store::GetResult g) {
     // Another run's key by now: the one ruled on is gone, and its successor must not be touched.
-    if (!g.answered || !g.found || g.permit == 0 || label + "@" + std::to_string(g.stamp) != of) return free();
-    client_.call(store::Priority::Vital, {"DELETE", "/grants/" + std::to_string(g.permit), {}}, kCallTimeout, [free](net::HttpResult) { free(); });
+    if (!g.answered || !g.found || g.permit == 0 || label + "@" + std::to_string(g.stamp) != of) return void(settled(label));
+    client_.call(store::Priority::Vital, {"DELETE", "/grants/" + std::to_string(g.permit), {}}, kCallTimeout, [this, label](net::HttpResult) { settled(label); });
   });
 }
 }  // namespace limemast::cluster
--- a/src/cluster/verdicts.hpp
+++ b/src/cluster/verdicts.hpp
@@ -49,6 +49,8 @@
   void take_back(const std::string& label, Case& c);
   void rule(const std::string& label, Case& c);
   void end_grant(const std::string& label, Case& c);
+  /// The request about this suspicion has been answered; null if it is over meanwhile.
+  Case* settled(const std::string& label);
   bool may_rule_on(const Tag& tag) const;
   /// The run of a controller that its node key names now, or "".
   Tag present(const std::string& label) const;
