--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -30,9 +30,16 @@
       terrain_(settings, index_, registry_),
       host_(runtime, settings, client_, membership_, router_, index_, registry_,
             [this](const std::string& machine) { book_.on_view(machine); }),
-      book_(runtime, settings, client_, membership_, router_, index_, registry_, ledger_, terrain_),
+      ends_(runtime, settings, membership_, router_,
+            [this](const std::string& uid, const jobs::Status& end) {
+              const bool news = index_.end_for_good(uid, runtime_.now());
+              questions_.remember(uid, end);
+              book_.closed(uid, end.phase);
+              if (news) on_end(uid);
+            }),
+      book_(runtime, settings, client_, membership_, router_, index_, registry_, ledger_, terrain_, ends_),
       placer_(runtime, settings, membership_, router_, index_, registry_, book_, ledger_),
-      questions_(runtime, client_, mirror_, membership_, router_, index_, registry_, book_),
+      questions_(runtime, client_, mirror_, membership_, router_, index_, registry_, book_, ends_),
       serving_(runtime, settings, membership_, index_, registry_, book_, questions_, ledger_, terrain_),
       desk_(runtime, settings, client_, membership_, router_, index_, registry_, book_, questions_),
       door_(runtime, settings),
@@ -68,9 +75,7 @@
     std::string name;
     if (cluster::keys::under(c.key, cluster::keys::kOpenJobs, name)) {
       if (c.removed) {
-        index_.end(name, runtime_.now());
-        operators_.on_job_ended(name);
-        host_.on_job_ended(name);
+        if (index_.end(name, runtime_.now())) on_end(name);
       } else {
         if (!index_.put(name, *mirror_.find(c.key))) client_.unreadable().note(c.key);
         operators_.on_job(name);
@@ -114,6 +119,11 @@
   look_ready();
 }
 
+void Node::on_end(const std::string& uid) {
+  operators_.on_job_ended(uid);
+  host_.on_job_ended(uid);
+}
+
 bool Node::ready() const { return membership_.entitled() && !registry_.types().empty(); }
 
 /// Says once how long each step of the start took, and that it is over.
@@ -141,6 +151,7 @@
 
 void Node::tick() {
   host_.tick();
+  ends_.tick();
   book_.tick();
   mover_.tick();
   serving_.tick();
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -32,6 +32,8 @@
  private:
   void on_changes(const std::vector<store::Change>& changes);
   void on_generation();
+  /// The job's end stands in the state service: by the watch, or by word of a controller, which may come long before.
+  void on_end(const std::string& uid);
   void look_ready();
   void tick();
   void place();
@@ -52,6 +54,7 @@
   insight::Terrain terrain_;
   drains::Drains drains_;
   machines::Host host_;
+  jobs::Ends ends_;
   jobs::Book book_;
   jobs::Placer placer_;
   jobs::Questions questions_;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -47,6 +47,8 @@
   std::string path_;
 };
 
+constexpr Seconds kLeastGap{4};
+
 std::string endpoint(const Fields& f, const char* name) {
   auto text = f.text(name);
   if (text.find(':') == std::string::npos) throw BadSettings(f.full(name) + ": must be address:port");
@@ -94,6 +96,9 @@
   s.report = Seconds(workers.number("report_s", 0, false));
   s.lease = Seconds(workers.number("lease_s", 0, false));
   s.cancel = Seconds(workers.number("cancel_s", 0, false));
+  // A controller that is cut off keeps its workers' tasks for its grant's time, and they live a lease more. With less than this between them
+  // its grant would end between two renewals, or a cancelled task live for too long.
+  if (s.cancel < s.lease * 1.001 + kLeastGap) throw BadSettings("settings.workers.cancel_s: must be at least 4 s above lease_s");
   const auto state = params.in("state");
   s.state_rps = state.number("rps", 0, false);
   s.state_write_rps = state.number("write_rps", 0, false);
--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -84,9 +84,7 @@
       return j;
     };
     if (old && wire::parse_catalog(old->value) && shape(old->value) == shape(record)) return;
-    auto when = membership_.fences();
-    when.push_back({cluster::keys::kCatalog, old ? old->stamp : 0});
-    client_.txn(store::Priority::Vital, when, {{cluster::keys::kCatalog, record, 0}}, [this](store::TxnResult t) {
+    client_.txn(store::Priority::Vital, membership_.fences({{cluster::keys::kCatalog, old ? old->stamp : 0}}), {{cluster::keys::kCatalog, record, 0}}, [this](store::TxnResult t) {
       if (t.verdict != store::Verdict::Ok) last_catalog_ = {};
     });
   });
@@ -628,7 +626,7 @@
   }
   for (auto& [record, machines] : records)
     std::erase_if(machines, [&](const auto& m) { return to_unregister_.contains(m.first); });
-  auto when = membership_.fences();
+  std::vector<store::Condition> when;
   std::vector<store::Write> writes;
   for (const auto& [record, machines] : records) {
     const auto* entry = mirror_.find(record);
@@ -639,7 +637,7 @@
   }
   if (writes.empty()) return;
   unregistering_ = true;
-  client_.txn(priority, when, writes, [this](store::TxnResult) { unregistering_ = false; });
+  client_.txn(priority, membership_.fences(std::move(when)), writes, [this](store::TxnResult) { unregistering_ = false; });
 }
 
 void Fleet::tick() {
--- a/src/cluster/job_index.hpp
+++ b/src/cluster/job_index.hpp
@@ -18,6 +18,7 @@
   bool spec_known = true;
   bool wanted() const { return !ended && spec_known; }  ///< machines are needed for it
   bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
+  bool final = false;  ///< and its final record was seen: a mirror that lags must not show it as open again
   net::Time ended_at{};
 };
 
@@ -46,6 +47,7 @@
   /// False if the record cannot be read. The job stays as it was known, and one that was not is known as pending: nobody
   /// hands its tasks out, and what it takes on a machine is unknown, until its record can be read.
   bool put(const std::string& uid, const store::Entry& entry) {
+    if (const auto* known = find(uid); known && known->final) return true;
     OpenJob job;
     const bool good = read(entry.value, job) && job.spec.uid == uid;
     if (good || !jobs_.contains(uid)) {
@@ -57,11 +59,13 @@
     jobs_[uid].stamp = entry.stamp;
     return good;
   }
-  void end(const std::string& uid, net::Time now) {
+  /// Its record is gone. False if that is no news.
+  bool end(const std::string& uid, net::Time now) {
     auto it = jobs_.find(uid);
-    if (it == jobs_.end() || it->second.ended) return;
+    if (it == jobs_.end() || it->second.ended) return false;
     it->second.ended = true;
     it->second.ended_at = now;
+    return true;
   }
   void set_left(const std::string& uid, std::uint32_t left, std::uint32_t unfinished) {
     auto it = jobs_.find(uid);
@@ -72,14 +76,16 @@
   }
   /// `told`: called whenever an owner has said how many tasks of a job are left.
   void watch_left(std::function<void(const OpenJob&)> told) { on_left_ = std::move(told); }
-  /// The state service itself says that this job, of which a machine still runs a task, has no open record.
-  void ended_before_our_time(const std::string& uid, net::Time now) {
-    if (jobs_.contains(uid)) return;
-    auto& job = jobs_[uid];
-    job.spec.uid = uid;
-    job.spec_known = false;
-    job.ended = true;
-    job.ended_at = now;
+  /// Its end stands in the state service, whatever our mirror shows by now. False if that was known.
+  bool end_for_good(const std::string& uid, net::Time now) {
+    auto [it, unknown] = jobs_.try_emplace(uid);
+    auto& job = it->second;
+    if (unknown) job.spec.uid = uid;
+    if (unknown) job.spec_known = false;
+    if (!job.ended) job.ended_at = now;
+    const bool news = !job.ended;
+    job.ended = job.final = true;
+    return news;
   }
   /// Forgets jobs that ended so long ago that nothing of them can be on a machine.
   void prune(net::Time before) {
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -14,9 +14,9 @@
 constexpr auto kTouchTimeout = 1500ms;
 /// Taken off the grant's time, beyond the 0.1% by which clocks may differ.
 constexpr auto kGrantMargin = 300ms;
-/// Between the end of a cut-off controller's grant plus a lease, and the time by which cancelled tasks are gone.
+/// Between the end of a cut-off controller's grant plus a lease, and the time by which cancelled tasks are gone; at most half of what the
+/// lease leaves of cancel_s (settings.cpp sees to it that it leaves some).
 constexpr auto kCancelMargin = 3s;
-constexpr auto kMinTtl = 3s;
 /// Added to the time for which a lost member may be certain: its clock runs slow by 0.05% at the most, and an answer that
 /// it gave within that time is on its way.
 constexpr auto kSilentMargin = 200ms;
@@ -38,8 +38,8 @@
     : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror) {
   incarnation_ = std::to_string(runtime.random()());
   // ttl + lease must stay below cancel_s: a controller that is cut off keeps the tasks of its workers alive.
-  ttl_ = std::max<net::Duration>(net::to_duration(settings.cancel - settings.lease * 1.001) - kCancelMargin, kMinTtl);
-  ttl_ = std::min<net::Duration>(ttl_, 600s);
+  const auto left = net::to_duration(settings.cancel - settings.lease * 1.001);
+  ttl_ = std::min<net::Duration>(std::max<net::Duration>(left - kCancelMargin, left / 2), 600s);
 }
 
 void Membership::start(Events events) {
@@ -96,7 +96,6 @@
     grant_ = permit->get<std::uint64_t>();
     reached(Step::Granted);
     served_ = sent;
-    valid_until_ = sent + ttl_ - ttl_ / 1000 - kGrantMargin;
     put_node();
     runtime_.after(kTouchEvery, [this] { touch(); });
   });
@@ -140,10 +139,7 @@
                  if (lost_) return;
                  if (r.status == 404) return lose();
                  const bool good = r.status == 200;
-                 if (good) {
-                   served_ = std::max(served_, sent);
-                   valid_until_ = std::max(valid_until_, sent + ttl_ - ttl_ / 1000 - kGrantMargin);
-                 }
+                 if (good) served_ = std::max(served_, sent);
                  runtime_.after(good ? net::Duration(kTouchEvery) : net::Duration(kRetry), [this] { touch(); });
                });
 }
@@ -155,8 +151,12 @@
   events_.lost();
 }
 
+/// Renewals alone do not bound what is cancelled without our knowing: while they succeed and the watch hangs, each would prolong the time
+/// for which workers keep tasks whose end was confirmed to a user long ago.
+net::Time Membership::valid_until() const { return std::min(served_, mirror_.shown_until()) + ttl_ - ttl_ / 1000 - kGrantMargin; }
+
 bool Membership::entitled() const {
-  return !lost_ && !self_.empty() && generation_readable_ && runtime_.now() < valid_until_ && generation_.members.contains(self_);
+  return !lost_ && !self_.empty() && generation_readable_ && runtime_.now() < valid_until() && generation_.members.contains(self_);
 }
 
 Tag Membership::member_at(const std::string& label) const {
@@ -165,8 +165,10 @@
   return {};
 }
 
-std::vector<store::Condition> Membership::fences() const {
-  return {{keys::kGeneration, generation_.number}, {keys::node(settings_.label), node_stamp_}};
+std::vector<store::Condition> Membership::fences(std::vector<store::Condition> own) const {
+  own.push_back({keys::kGeneration, generation_.number});
+  own.push_back({keys::node(settings_.label), node_stamp_});
+  return own;
 }
 
 std::set<Tag> Membership::runs() const {
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -33,7 +33,8 @@
 
   const Generation& generation() const { return generation_; }
   const Tag& self() const { return self_; }
-  /// May act for the controllers: the grant counts and the generation names us.
+  /// May act for the controllers: the grant counts, the mirror shows what was written not long ago, and the generation names us. Workers'
+  /// leases are kept by nobody else, so that what was cancelled behind our back is gone within cancel_s (design.md, "Cancelled jobs").
   bool entitled() const;
   /// When the last renewal that the state service granted was sent.
   net::Time served_by_state() const { return served_; }
@@ -50,8 +51,10 @@
   Tag member_at(const std::string& label) const;
   /// The generation before had a member that the present one has not.
   bool lost_member() const { return lost_member_; }
-  /// Conditions for every write: a transaction applied minutes late must fail.
-  std::vector<store::Condition> fences() const;
+  /// Conditions for a write: our generation and node key, for a transaction that is carried out minutes late must fail. `own`: each key that
+  /// is written, with the revision last read there. Within one run and generation nothing else keeps a transaction that got no answer from
+  /// being carried out after newer ones of ours.
+  std::vector<store::Condition> fences(std::vector<store::Condition> own) const;
   std::uint64_t grant() const { return grant_; }
   /// Our grant is as good as ended: we start anew.
   void give_up() { lose(); }
@@ -76,6 +79,7 @@
   void elect();
   void write_generation();
   void lose();
+  net::Time valid_until() const;
   net::Runtime& runtime_;
   const wire::Settings& settings_;
   store::Client& client_;
@@ -84,7 +88,6 @@
   std::string incarnation_;
   net::Duration ttl_;
   std::uint64_t grant_ = 0;
-  net::Time valid_until_{};
   std::uint64_t node_stamp_ = 0;
   Tag self_;
   Generation generation_;
--- a/src/cluster/verdicts.cpp
+++ b/src/cluster/verdicts.cpp
@@ -123,9 +123,7 @@
   written_[label] = now;
   ++counts_.suspicions;
   spdlog::info("suspecting {}: {}, generation {}", tag, detect::name_of(watch_.condition(tag, now)), membership_.generation().number);
-  auto when = membership_.fences();
-  when.push_back({keys::suspect(label), 0});
-  when.push_back({keys::node(label), mirror_.find(keys::node(label))->stamp});
+  const auto when = membership_.fences({{keys::suspect(label), 0}, {keys::node(label), mirror_.find(keys::node(label))->stamp}});
   // It goes with our grant: a suspicion whose author is no more holds up nobody's.
   client_.txn(store::Priority::Vital, when, {{keys::suspect(label), json{{"of", tag}, {"by", membership_.self()}}, membership_.grant()}},
               [](store::TxnResult) { /* the mirror shows it */ });
@@ -156,9 +154,7 @@
   c.busy = true;
   ++counts_.verdicts;
   spdlog::info("verdict: {} has not answered for itself, its grant is ended, generation {}", c.of, membership_.generation().number);
-  auto when = membership_.fences();
-  when.push_back({keys::suspect(label), c.stamp});
-  when.push_back({keys::node(label), mirror_.find(keys::node(label))->stamp});
+  const auto when = membership_.fences({{keys::suspect(label), c.stamp}, {keys::node(label), mirror_.find(keys::node(label))->stamp}});
   // Attached to no grant: it must outlast whoever wrote it, until it is carried out.
   client_.txn(store::Priority::Vital, when, {{keys::suspect(label), json{{"of", c.of}, {"by", c.by}, {"ruled", true}}, 0}},
               [this, label, of = c.of](store::TxnResult r) {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -43,9 +43,9 @@
 }
 
 Book::Book(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
-           cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, insight::Ledger& ledger, insight::Terrain& terrain)
+           cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, insight::Ledger& ledger, insight::Terrain& terrain, Ends& ends)
     : runtime_(runtime), settings_(settings), client_(client), membership_(membership), router_(router), index_(index),
-      registry_(registry), ledger_(ledger), terrain_(terrain), budgets_(runtime, settings, membership, router), progress_(runtime, settings, client, membership),
+      registry_(registry), ledger_(ledger), terrain_(terrain), ends_(ends), budgets_(runtime, settings, membership, router), progress_(runtime, settings, client, membership),
       prober_(runtime, settings, membership, router, registry) {
   router_.on("pull", [this](auto& from, auto& m) { on_pull(from, m); });
   router_.on("settled", [this](auto& from, auto& m) { on_settled(from, m); });
@@ -611,17 +611,16 @@
     runtime_.after(kCommitRetry, [this, uid] { commit(uid); });
     return;
   }
-  auto when = membership_.fences();
   // As the mirror shows it: somebody may have written it anew by hand, and then no other condition would ever hold.
   const auto* open = index_.find(uid);
-  when.push_back({cluster::keys::open_job(uid), open ? open->stamp : job->open.stamp});
+  const auto when = membership_.fences({{cluster::keys::open_job(uid), open ? open->stamp : job->open.stamp}, {cluster::keys::final_job(uid), 0}});
   client_.txn(store::Priority::User, when,
               {{cluster::keys::open_job(uid), std::nullopt, 0},
                {cluster::keys::final_job(uid), json{{"phase", name_of(*job->ending)}, {"tasks", job->open.spec.tasks}}, 0}},
               [this, uid](store::TxnResult r) {
                 auto* job = find(uid);
                 if (!job) return;
-                if (r.verdict == store::Verdict::Ok) return closed(uid, *job->ending);
+                if (r.verdict == store::Verdict::Ok) return written(uid, *job->ending);
                 if (r.verdict == store::Verdict::Refused) {
                   runtime_.after(kCommitRetry, [this, uid] { commit(uid); });
                   return;
@@ -635,12 +634,20 @@
     auto* job = find(uid);
     if (!job) return;
     const auto phase = g.answered && g.found ? final_phase(g.value) : std::nullopt;
-    if (phase) return closed(uid, *phase);
+    if (phase) return written(uid, *phase);
     if (g.answered && g.found) client_.unreadable().note(cluster::keys::final_job(uid));
     runtime_.after(kCommitRetry, [this, uid, open = g.answered && !g.found] { open ? commit(uid) : learn_outcome(uid); });
   });
 }
 
+void Book::written(const std::string& uid, Phase phase) {
+  const auto* job = find(uid);
+  Status end;
+  end.phase = phase;
+  if (phase == Phase::Done) end.done = job->open.spec.tasks;
+  ends_.tell(uid, end);
+}
+
 void Book::closed(const std::string& uid, Phase phase) {
   auto* job = find(uid);
   if (!job || job->over) return;
@@ -648,7 +655,6 @@
   job->over = true;
   ledger_.clear(uid, runtime_.now());
   spdlog::debug("job {} {}, generation {}", uid, name_of(phase), membership_.generation().number);
-  router_.broadcast("final", {{"uid", uid}, {"phase", name_of(phase)}, {"tasks", job->open.spec.tasks}});
   for (auto& done : std::exchange(job->waiting, {})) done(phase);
 }
 
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -2,6 +2,7 @@
 #include "insight/ledger.hpp"
 #include "insight/terrain.hpp"
 #include "jobs/budgets.hpp"
+#include "jobs/ends.hpp"
 #include "jobs/prober.hpp"
 
 namespace limemast::jobs {
@@ -10,7 +11,7 @@
  public:
   Book(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership,
        cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, insight::Ledger& ledger,
-       insight::Terrain& terrain);
+       insight::Terrain& terrain, Ends& ends);
 
   /// The set of registered machines has changed.
   void on_machines() { least_read_.reset(); }
@@ -26,6 +27,9 @@
   /// `done` gets the final phase once it is written, or nullopt if it could not be decided.
   void cancel(const std::string& uid, std::function<void(std::optional<Phase>)> done);
 
+  /// The job's end was written, by whomever. Nothing of it is handed out any more.
+  void closed(const std::string& uid, Phase phase);
+
   /// The leader's part: may a task of this job go to this machine now, its team's limit apart, and doing it.
   bool may_place(const Job& job, const View& view) const;
   /// `evict`: tasks of lower rank there that are ended to make room.
@@ -82,7 +86,7 @@
   void finish(Job& job, Phase phase);
   void commit(const std::string& uid);
   void learn_outcome(const std::string& uid);
-  void closed(const std::string& uid, Phase phase);
+  void written(const std::string& uid, Phase phase);
   void record_progress();
   void load_progress();
   /// Tells all hosts how many tasks of these jobs are left to hand out; one that has none loses its probes.
@@ -104,6 +108,7 @@
   machines::Registry& registry_;
   insight::Ledger& ledger_;
   insight::Terrain& terrain_;
+  Ends& ends_;
   Budgets budgets_;
   ProgressLog progress_;
   Prober prober_;
--- a/src/jobs/budgets.cpp
+++ b/src/jobs/budgets.cpp
@@ -7,6 +7,7 @@
 using namespace std::chrono_literals;
 using wire::json;
 constexpr auto kAskPause = 50ms;
+constexpr auto kGrantLost = 500ms;  ///< a grant that its holder does not know of by then is sent again
 constexpr double kBoundless = 1e15;
 constexpr double kAtLeast = 8;  ///< tasks asked for together: saves a round trip each
 constexpr double kAtOnce = 1.0 / 16;  ///< of the limit that is asked for and not in use yet, by one holder
@@ -108,7 +109,12 @@
   if (!membership_.leads()) return;
   auto& member = table_[from];
   const bool current = !member.known || m.at("serial").get<std::uint64_t>() == member.serial;
-  if (!current) return;
+  // It speaks of a time before our last grant, which may have been lost on a link: sent once, its holder and all that was granted to it
+  // stood still for as long as we led (simulator, seeds 56 and 85). A grant says totals, so that a second copy changes nothing.
+  if (!current) {
+    if (runtime_.now() - member.sent > kGrantLost) send_grant(from, member);
+    return;
+  }
   bool more = false;
   for (const auto& [team, state] : m.at("teams").items()) {
     if (!limited(team)) continue;
@@ -128,9 +134,15 @@
   }
   member.known = true;
   if (!more) return;
+  ++member.serial;
+  send_grant(from, member);
+}
+
+void Budgets::send_grant(const cluster::Tag& to, Member& member) {
+  member.sent = runtime_.now();
   json teams = json::object();
   for (const auto& [team, granted] : member.granted) teams[team] = to_json(granted);
-  router_.send(from, "grant", {{"teams", teams}, {"serial", ++member.serial}});
+  router_.send(to, "grant", {{"teams", teams}, {"serial", member.serial}});
 }
 
 void Budgets::on_grant(const cluster::Tag& from, const json& m) {
--- a/src/jobs/budgets.hpp
+++ b/src/jobs/budgets.hpp
@@ -36,12 +36,14 @@
   struct Member {
     std::uint64_t serial = 0;  ///< of the last grant
     bool known = false;
+    net::Time sent{};  ///< when the last grant was
     std::map<std::string, Room> granted;
   };
   bool limited(const std::string& team) const;
   Room limit(const std::string& team) const;
   void tell_leader();
   void on_state(const cluster::Tag& from, const wire::json& m);
+  void send_grant(const cluster::Tag& to, Member& member);
   void on_grant(const cluster::Tag& from, const wire::json& m);
 
   net::Runtime& runtime_;
--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -97,9 +97,7 @@
 void FrontDesk::accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond) {
   if (!membership_.entitled() || tries == 0) return respond(error(503, "busy"));
   const bool is_long = spec.service || spec.gang || spec.estimate > settings_.tuning.long_threshold;
-  auto when = membership_.fences();
-  when.push_back({cluster::keys::open_job(spec.uid), 0});
-  when.push_back({cluster::keys::final_job(spec.uid), 0});
+  const auto when = membership_.fences({{cluster::keys::open_job(spec.uid), 0}, {cluster::keys::final_job(spec.uid), 0}});
   const auto record =
       cluster::JobIndex::record(spec, membership_.self(), membership_.generation().number, is_long, runtime_.wall());
   client_.txn(store::Priority::User, when, {{cluster::keys::open_job(spec.uid), record, 0}},
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -1,12 +1,14 @@
 #include "jobs/progress.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace limemast::jobs {
 namespace {
 using namespace std::chrono_literals;
 using wire::json;
 constexpr double kFill = 0.75;
+constexpr std::size_t kMostRecords = 1000;  ///< of one owner
 constexpr char kHex[] = "0123456789abcdef";
 
 int nibble(char c) {
@@ -54,76 +56,109 @@
     records.back() += text;
   }
   for (auto& r : records) r += "]";
+  if (unknown_) return look_again([done = std::move(done)] { done(false); });
   std::vector<store::Write> writes;
+  std::vector<store::Condition> when;
   std::size_t bytes = 0;
   bool all = true;
   auto next = stored_;
   next.resize(std::max(next.size(), records.size()));
   for (std::size_t n = 0; n < next.size(); ++n) {
     const auto text = n < records.size() ? records[n] : "[]";
-    if (next[n] == text) continue;
+    if (next[n].text == text) continue;
     if (writes.size() >= settings_.txn_ops || bytes + text.size() > 48 * 1024) {
       all = false;  // the rest goes with the next call
       break;
     }
+    when.push_back({key(n), next[n].stamp});
     writes.push_back({key(n), json::parse(text), 0});
     bytes += text.size();
-    next[n] = text;
+    next[n] = {text, 0};
   }
   if (writes.empty()) return done(true);
   busy_ = true;
-  client_.txn(store::Priority::Background, membership_.fences(), writes, [this, all, next, done = std::move(done)](store::TxnResult r) {
+  client_.txn(store::Priority::Background, membership_.fences(std::move(when)), writes, [this, all, next, done = std::move(done)](store::TxnResult r) mutable {
     busy_ = false;
-    const bool ok = r.verdict == store::Verdict::Ok;
-    if (ok)
-      stored_ = next;
-    else
-      stored_.assign(stored_.size(), {});  // unknown what stands there: write all again
-    done(ok && all);
+    if (r.verdict == store::Verdict::Ok) {
+      for (std::size_t n = 0; n < next.size(); ++n)
+        if (n >= stored_.size() || next[n].text != stored_[n].text) next[n].stamp = r.epoch;
+      stored_ = std::move(next);
+    }
+    // A conflict may be one with a write of our own that was carried out late.
+    unknown_ = r.verdict == store::Verdict::Unknown || r.verdict == store::Verdict::Conflict;
+    done(r.verdict == store::Verdict::Ok && all);
   });
 }
 
-void ProgressLog::read(std::function<void(std::vector<ProgressPiece>)> done) { read_page("", {}, {}, std::move(done)); }
+void ProgressLog::look_again(std::function<void()> then) {
+  busy_ = true;
+  const auto prefix = cluster::keys::kProgress + membership_.self() + "/";
+  list(store::Priority::Background, prefix, "", {}, [this, prefix, then = std::move(then)](std::optional<std::vector<Listed>> all) {
+    busy_ = false;
+    if (!all) return then();
+    stored_.clear();
+    unknown_ = false;
+    for (const auto& e : *all) {
+      std::size_t n = 0;
+      const auto [end, error] = std::from_chars(e.key.data() + prefix.size(), e.key.data() + e.key.size(), n);
+      if (error != std::errc() || end != e.key.data() + e.key.size() || n >= kMostRecords) continue;  // none that we would write
+      stored_.resize(std::max(stored_.size(), n + 1));
+      stored_[n] = {e.value.dump(), e.stamp};
+    }
+    then();
+  });
+}
 
-void ProgressLog::read_page(const std::string& from, std::vector<ProgressPiece> sofar, std::set<std::string> found,
-                            std::function<void(std::vector<ProgressPiece>)> done) {
-  auto path = "/keys?prefix=" + cluster::keys::kProgress + "&limit=100";
+void ProgressLog::list(store::Priority priority, const std::string& prefix, const std::string& from, std::vector<Listed> sofar,
+                       std::function<void(std::optional<std::vector<Listed>>)> done) {
+  auto path = "/keys?prefix=" + prefix + "&limit=100";
   if (!from.empty()) path += "&from=" + from;
-  client_.call(store::Priority::Vital, {"GET", path, {}}, 5s,
-               [this, from, sofar, found, done = std::move(done)](net::HttpResult r) mutable {
-                 const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
-                 if (!body.is_object() || !body.contains("entries")) {
-                   runtime_.after(400ms, [this, done = std::move(done)]() mutable { read(std::move(done)); });
-                   return;
-                 }
-                 std::string last;
-                 for (const auto& e : body["entries"]) {
-                   last = cluster::text_in(e, "key");
-                   if (!last.starts_with(cluster::keys::kProgress)) continue;
-                   const auto owner = last.substr(cluster::keys::kProgress.size());
-                   if (!membership_.member(owner.substr(0, owner.find('/')))) found.insert(last);
-                   // What cannot be read is as good as not recorded: those tasks run once more.
-                   try {
-                     for (const auto& p : e.at("v"))
-                       sofar.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint32_t>(), p.at(2).get<std::string>()});
-                   } catch (const json::exception&) {
-                     client_.unreadable().note(last);
-                   }
-                 }
-                 if (body.value("truncated", false) && !last.empty()) return read_page(last, std::move(sofar), std::move(found), std::move(done));
-                 strangers_ = std::move(found);
-                 done(std::move(sofar));
-               });
+  client_.call(priority, {"GET", path, {}}, 5s, [this, priority, prefix, sofar = std::move(sofar), done = std::move(done)](net::HttpResult r) mutable {
+    const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+    if (!body.is_object() || !body.contains("entries")) return done(std::nullopt);
+    std::string last;
+    for (const auto& e : body["entries"]) {
+      last = cluster::text_in(e, "key");
+      if (last.starts_with(prefix) && e.contains("v")) sofar.push_back({last, e["v"], e.value("stamp", std::uint64_t{0})});
+    }
+    if (body.value("truncated", false) && !last.empty()) return list(priority, prefix, last, std::move(sofar), std::move(done));
+    done(std::move(sofar));
+  });
+}
+
+void ProgressLog::read(std::function<void(std::vector<ProgressPiece>)> done) {
+  list(store::Priority::Vital, cluster::keys::kProgress, "", {}, [this, done = std::move(done)](std::optional<std::vector<Listed>> all) mutable {
+    if (!all) {
+      runtime_.after(400ms, [this, done = std::move(done)]() mutable { read(std::move(done)); });
+      return;
+    }
+    std::vector<ProgressPiece> pieces;
+    strangers_.clear();
+    for (const auto& e : *all) {
+      const auto owner = e.key.substr(cluster::keys::kProgress.size());
+      if (!membership_.member(owner.substr(0, owner.find('/')))) strangers_.emplace(e.key, e.stamp);
+      // What cannot be read is as good as not recorded: those tasks run once more.
+      try {
+        for (const auto& p : e.value) pieces.push_back({p.at(0).get<std::string>(), p.at(1).get<std::uint32_t>(), p.at(2).get<std::string>()});
+      } catch (const json::exception&) {
+        client_.unreadable().note(e.key);
+      }
+    }
+    done(std::move(pieces));
+  });
 }
 
 void ProgressLog::remove_strangers() {
   if (strangers_.empty()) return;
   std::vector<store::Write> writes;
-  for (const auto& key : strangers_) {
+  std::vector<store::Condition> when;
+  for (const auto& [key, stamp] : strangers_) {
     if (writes.size() >= settings_.txn_ops / 2) break;
     writes.push_back({key, std::nullopt, 0});
+    when.push_back({key, stamp});
   }
+  // One that is left is removed by whoever reads the records next.
   for (const auto& w : writes) strangers_.erase(w.key);
-  client_.txn(store::Priority::Background, membership_.fences(), writes, [](store::TxnResult) {});
+  client_.txn(store::Priority::Background, membership_.fences(std::move(when)), writes, [](store::TxnResult) {});
 }
 }  // namespace limemast::jobs
--- a/src/jobs/progress.hpp
+++ b/src/jobs/progress.hpp
@@ -27,6 +27,9 @@
 };
 
 /// Writes what an owner's jobs have done, in as few records as the value size allows, and reads what others left.
+///
+/// Attempts are cleared from their machines on the strength of what stands here, so an older record must never take a newer one's place: each
+/// write stands on the revision of every record that it replaces. Where a write got no answer, the records are read before the next.
 class ProgressLog {
  public:
   ProgressLog(net::Runtime& runtime, const wire::Settings& settings, store::Client& client, cluster::Membership& membership);
@@ -39,16 +42,29 @@
   void remove_strangers();
 
  private:
-  void read_page(const std::string& from, std::vector<ProgressPiece> sofar, std::set<std::string> keys,
-                 std::function<void(std::vector<ProgressPiece>)> done);
+  /// One of our records as it stands in the service.
+  struct Record {
+    std::string text;
+    std::uint64_t stamp = 0;  ///< 0: there is none
+  };
+  struct Listed {
+    std::string key;
+    wire::json value;
+    std::uint64_t stamp = 0;
+  };
+  /// All records under a prefix, page by page; nothing if the service does not answer.
+  void list(store::Priority priority, const std::string& prefix, const std::string& from, std::vector<Listed> sofar,
+            std::function<void(std::optional<std::vector<Listed>>)> done);
+  void look_again(std::function<void()> then);
   std::string key(std::size_t n) const;
 
   net::Runtime& runtime_;
   const wire::Settings& settings_;
   store::Client& client_;
   cluster::Membership& membership_;
-  std::vector<std::string> stored_;  ///< our records as they stand in the service
-  std::set<std::string> strangers_;
+  std::vector<Record> stored_;  ///< a run's first record is its own, so none is there before it
+  bool unknown_ = false;        ///< a write may have been carried out, or may yet be
+  std::map<std::string, std::uint64_t> strangers_;  ///< with their revisions
   bool busy_ = false;
 };
 }  // namespace limemast::jobs
--- a/src/jobs/questions.cpp
+++ b/src/jobs/questions.cpp
@@ -16,17 +16,10 @@
 }  // namespace
 
 Questions::Questions(net::Runtime& runtime, store::Client& client, store::Mirror& mirror, cluster::Membership& membership,
-                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book)
-    : runtime_(runtime), client_(client), mirror_(mirror), membership_(membership), router_(router), index_(index), registry_(registry), book_(book) {
+                     cluster::Router& router, cluster::JobIndex& index, machines::Registry& registry, Book& book, Ends& ends)
+    : runtime_(runtime), client_(client), mirror_(mirror), membership_(membership), router_(router), index_(index), registry_(registry), book_(book), ends_(ends) {
   router_.on("status", [this](const Tag& from, const json& m) { on_status_asked(from, m); });
   router_.on("state", [this](const Tag&, const json& m) { on_status_told(m); });
-  router_.on("final", [this](const Tag&, const json& m) {
-    // Written before it is said, and it never changes: whoever is asked next need not ask the state service.
-    Status s;
-    s.phase = m.at("phase").get<std::string>() == name_of(Phase::Done) ? Phase::Done : Phase::Cancelled;
-    if (s.phase == Phase::Done) s.done = m.at("tasks").get<std::uint32_t>();
-    remember(m.at("uid").get<std::string>(), s);
-  });
 }
 
 Status Questions::open_status(const std::string& uid) const {
@@ -179,6 +172,8 @@
     Status s;
     s.phase = *phase;
     if (const auto tasks = g.value.find("tasks"); s.phase == Phase::Done && tasks != g.value.end() && tasks->is_number_unsigned()) s.done = tasks->get<std::uint32_t>();
+    // Whoever wrote it may have ended before it could say so, and others may hear no watch.
+    if (const auto* known = index_.find(uid); known && !known->ended) ends_.tell(uid, s);
     remember(uid, s);
     tell(Known::Yes, s);
   });
--- a/src/jobs/questions.hpp
+++ b/src/jobs/questions.hpp
@@ -14,7 +14,9 @@
   enum class Known { Yes, No, Unclear };
   using Lookup = std::function<void(Known, Status)>;
   Questions(net::Runtime& runtime, store::Client& client, store::Mirror& mirror, cluster::Membership& membership, cluster::Router& router,
-            cluster::JobIndex& index, machines::Registry& registry, Book& book);
+            cluster::JobIndex& index, machines::Registry& registry, Book& book, Ends& ends);
+  /// Its end stands in the state service: whoever is asked next need not look there.
+  void remember(const std::string& uid, const Status& status);
   void look_up(const std::string& uid, Lookup done);
   /// Its end is known here, which never changes.
   bool ended(const std::string& uid) const { return finals_.contains(uid); }
@@ -39,7 +41,6 @@
   void on_status_asked(const Tag& from, const wire::json& m);
   void on_status_told(const wire::json& m);
   Status open_status(const std::string& uid) const;
-  void remember(const std::string& uid, const Status& status);
 
   net::Runtime& runtime_;
   store::Client& client_;
@@ -49,6 +50,7 @@
   cluster::JobIndex& index_;
   machines::Registry& registry_;
   Book& book_;
+  Ends& ends_;
   std::unordered_map<std::string, Status> finals_;
   std::map<Tag, Batch> for_owner_;  ///< not sent yet
   bool flush_armed_ = false;
--- a/src/machines/enrolment.cpp
+++ b/src/machines/enrolment.cpp
@@ -32,9 +32,7 @@
   if (names.empty()) return;
   registering_ = true;
   const auto key = cluster::keys::machines(membership_.self() + "-" + std::to_string(next_record_++));
-  auto when = membership_.fences();
-  when.push_back({key, 0});
-  client_.txn(store::Priority::User, when, {{key, names}}, [this](store::TxnResult) {
+  client_.txn(store::Priority::User, membership_.fences({{key, 0}}), {{key, names}}, [this](store::TxnResult) {
     // The mirror shows whether it worked; a machine that is still not written down is tried again by its next report.
     runtime_.after(kRegisterRetry, [this] { registering_ = false; });
   });
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -232,13 +232,13 @@
   } else {
     auto& h = hosted(machine);
     const auto* view = registry_.find(machine);
-    stray_tasks(machine, h, *view);
+    stray_tasks(h, *view);
     if (registry_.closed(machine) || view->drained || view->report.notice) drop_probes(machine, h);
   }
   if (!repeats) runtime_.post([this, machine] { seen_(machine); });
 }
 
-void Host::stray_tasks(const std::string& machine, Hosted& h, const View& view) {
+void Host::stray_tasks(Hosted& h, const View& view) {
   // Jobs that have ended need no owner: whoever hears the machine ends what is left of them, so that a controller
   // cut off from its peers alone still carries out cancellations.
   for (const auto& t : view.report.tasks) {
@@ -254,12 +254,6 @@
       h.outbox.push_back({wire::Verb::Clear, t.uid, t.index, t.attempt, wire::Seconds(0)});
     }
   }
-  std::erase_if(h.deliveries, [&](const Delivery& d) {
-    const auto* job = jobs_.find(d.order.uid);
-    if (d.path != Path::Queued || !job || !job->ended) return false;
-    tell_settled(machine, d, false);
-    return true;
-  });
 }
 
 void Host::look_into(const std::string& uid) {
@@ -270,7 +264,7 @@
   if (!fresh && now - asked->second < kLookAgain) return;
   asked->second = now;
   client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid](store::GetResult g) {
-    if (g.answered && !g.found) jobs_.ended_before_our_time(uid, runtime_.now());
+    if (g.answered && !g.found && !jobs_.find(uid)) jobs_.end_for_good(uid, runtime_.now());
   });
 }
 
@@ -333,6 +327,13 @@
 
 void Host::on_job_ended(const std::string& uid) {
   remove_probes_of(uid);
+  // Runs that have not left us never will: no task starts after its job's end was confirmed.
+  for (auto& [machine, h] : hosted_)
+    std::erase_if(h.deliveries, [&, &machine = machine](const Delivery& d) {
+      if (d.path != Path::Queued || d.order.uid != uid) return false;
+      tell_settled(machine, d, false);
+      return true;
+    });
   if (!registry_.on_machines(uid)) return;  // nothing is left to end
   for (auto& [machine, h] : hosted_) {
     const auto* view = registry_.find(machine);
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -73,7 +73,7 @@
   void take_report(const wire::Report& report, const cluster::Tag& host, bool hello);
   void settle(const std::string& machine, bool hello);
   void tell_settled(const std::string& machine, const Delivery& d, bool present);
-  void stray_tasks(const std::string& machine, Hosted& h, const View& view);
+  void stray_tasks(Hosted& h, const View& view);
   void look_into(const std::string& uid);
   void answer(const std::string& machine);
   double load();
--- a/src/operate/views.cpp
+++ b/src/operate/views.cpp
@@ -267,9 +267,7 @@
   }
   if (!old && drains_.all().size() >= drains::kMaxDrains) return respond(error(409, "drains: too many at once"));
   if (!membership_.entitled()) return respond(error(503, "not entitled"));
-  auto when = membership_.fences();
-  when.push_back({key, old ? old->stamp : 0});
-  client_.txn(store::Priority::Background, when, {{key, drains::to_json(d), 0}}, [respond, id](store::TxnResult r) {
+  client_.txn(store::Priority::Background, membership_.fences({{key, old ? old->stamp : 0}}), {{key, drains::to_json(d), 0}}, [respond, id](store::TxnResult r) {
     if (r.verdict == store::Verdict::Ok) return respond({201, json{{"id", id}, {"drained", true}}.dump() + "\n", 0, {}});
     respond(error(503, r.verdict == store::Verdict::Conflict ? "changed meanwhile: try again" : "state service"));
   });
@@ -280,9 +278,7 @@
   const auto* old = mirror_.find(key);
   if (!old) return respond(error(404, "no such drain"));
   if (!membership_.entitled()) return respond(error(503, "not entitled"));
-  auto when = membership_.fences();
-  when.push_back({key, old->stamp});
-  client_.txn(store::Priority::Background, when, {{key, std::nullopt, 0}}, [respond, id](store::TxnResult r) {
+  client_.txn(store::Priority::Background, membership_.fences({{key, old->stamp}}), {{key, std::nullopt, 0}}, [respond, id](store::TxnResult r) {
     if (r.verdict == store::Verdict::Ok) return respond(ok({{"id", id}, {"drained", false}}));
     respond(error(503, r.verdict == store::Verdict::Conflict ? "changed meanwhile: try again" : "state service"));
   });
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -6,7 +6,8 @@
 namespace limemast::store {
 namespace {
 using namespace std::chrono_literals;
-constexpr auto kWait = 5s;
+/// Each answer tells how fresh the mirror is, also where nothing changes; membership.hpp says what depends on that.
+constexpr auto kWait = 1s;
 constexpr auto kWatchTimeout = 8s;
 constexpr auto kListTimeout = 5s;
 constexpr auto kRefreshTimeout = 1500ms;
@@ -41,7 +42,10 @@
 void Mirror::retry(std::function<void()> again) { runtime_.after(kPause, std::move(again)); }
 
 void Mirror::list(const std::string& from) {
-  if (from.empty()) listing_.clear();
+  if (from.empty()) {
+    listing_.clear();
+    listing_sent_ = runtime_.now();
+  }
   std::string path = "/keys?prefix=" + prefix_ + "&limit=" + kPage;
   if (!from.empty()) path += "&from=" + from;
   client_.call(Priority::Vital, {"GET", path, {}}, kListTimeout, [this, from](net::HttpResult r) {
@@ -70,6 +74,7 @@
     entries_ = std::move(listing_);
     listing_.clear();
     epoch_ = listing_epoch_;
+    shown_until_ = std::max(shown_until_, listing_sent_);
     synced_ = true;
     listener_(changes);
     watch();
@@ -80,9 +85,9 @@
   const auto wait = std::chrono::milliseconds(kWait).count();
   client_.call(Priority::Vital,
                {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(epoch_) + "&waitMs=" + std::to_string(wait), {}},
-               kWatchTimeout, [this](net::HttpResult r) {
+               kWatchTimeout, [this, sent = runtime_.now()](net::HttpResult r) {
                  if (r.status == 410) return list("");
-                 if (!take(r.status == 200 ? json::parse(r.body, nullptr, false) : json())) return retry([this] { watch(); });
+                 if (!take(r.status == 200 ? json::parse(r.body, nullptr, false) : json(), sent)) return retry([this] { watch(); });
                  watch();
                });
 }
@@ -90,12 +95,12 @@
 void Mirror::refresh(std::function<void(bool)> done) {
   if (!synced_) return done(false);
   client_.call(Priority::Vital, {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(epoch_) + "&waitMs=0", {}}, kRefreshTimeout,
-               [this, done = std::move(done)](net::HttpResult r) {
-                 done(take(r.status == 200 ? json::parse(r.body, nullptr, false) : json()));
+               [this, sent = runtime_.now(), done = std::move(done)](net::HttpResult r) {
+                 done(take(r.status == 200 ? json::parse(r.body, nullptr, false) : json(), sent));
                });
 }
 
-bool Mirror::take(const json& body) {
+bool Mirror::take(const json& body, net::Time sent) {
   const auto epoch = body.is_object() ? body.find("epoch") : body.end();
   if (epoch == body.end() || !epoch->is_number_unsigned()) return false;
   std::vector<Change> changes;
@@ -121,6 +126,7 @@
     }
   }
   epoch_ = std::max(epoch_, epoch->get<std::uint64_t>());
+  shown_until_ = std::max(shown_until_, sent);
   // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
   std::set<std::string> told;
   std::vector<Change> final;
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -26,12 +26,14 @@
   /// Reads on at once. With `true` the mirror shows all that was written before this call, as a read of each key would.
   void refresh(std::function<void(bool)> done);
   std::uint64_t epoch() const { return epoch_; }
+  /// All that was written before this moment is shown here. A watch that hangs while other calls are answered holds it back.
+  net::Time shown_until() const { return shown_until_; }
 
  private:
   void list(const std::string& from);
   void watch();
-  /// Takes in the answer to a watch; false if it is none.
-  bool take(const json& body);
+  /// Takes in the answer to a watch that was sent at `sent`; false if it is none.
+  bool take(const json& body, net::Time sent);
   void retry(std::function<void()> again);
 
   net::Runtime& runtime_;
@@ -41,6 +43,8 @@
   std::map<std::string, Entry> entries_;
   std::map<std::string, Entry> listing_;
   std::uint64_t listing_epoch_ = 0;
+  net::Time listing_sent_{};
+  net::Time shown_until_{};
   std::uint64_t epoch_ = 0;
   bool synced_ = false;
 };
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -45,6 +45,7 @@
                                               {"/settings/size", 0},
                                               {"/settings/zones", "a"},
                                               {"/settings/workers/lease_s", 0},
+                                              {"/settings/workers/cancel_s", 15.9},
                                               {"/settings/state/txn_ops", 1},
                                               {"/settings/cloud/rps", "fast"},
                                               {"/settings/limits/max_connections", -1}};
--- /dev/null
+++ b/tests/meetings/cancel_test.cpp
@@ -0,0 +1,156 @@
+// What was confirmed to a user as cancelled is gone within cancel_s: by word of mouth at once, and without any message by time alone.
+#include "meetings/meeting.hpp"
+
+namespace limemast {
+namespace {
+class Gap : public Meeting {
+ protected:
+  /// Arrays that run, and whose owners are all three controllers.
+  std::vector<std::string> running_arrays() {
+    const auto jobs = arrays(14, 3, 58);
+    cluster_.run(16s);
+    return jobs;
+  }
+  void cancel(const std::vector<std::string>& jobs) {
+    for (const auto& uid : jobs) cluster_.cancel(uid);
+  }
+  std::size_t cancelled(const std::vector<std::string>& jobs) const {
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&](const auto& uid) { return cluster_.told(uid) == "cancelled"; }));
+  }
+  Duration longest() { return cluster_.rules().longest_after_cancel(); }
+  Duration allowed() const { return net::to_duration(settings().cancel); }
+};
+
+// The operators' meeting: the state service refuses the leader alone, others confirm cancellations, then it is away for all for longer than
+// cancel_s while workers report to the old leader. The refused one hears of the ends from those who wrote them; it heard them by its
+// watch only, and what it heard kept running for a verdict's time and more.
+TEST_P(Gap, RefusedLeaderHearsOfEnds) {
+  for (int twice = 0; twice < 2; ++twice) {
+    const auto jobs = running_arrays();
+    cluster_.refuse(leader(), 14s);
+    cluster_.run(300ms);
+    cancel(jobs);
+    cluster_.run(1700ms);
+    ASSERT_GE(cancelled(jobs), 3u);
+    cluster_.state_outage(allowed() + 20s);
+    cluster_.run(allowed() + 45s);
+    EXPECT_EQ(cancelled(jobs), jobs.size());
+  }
+  // A report's interval, a message, an answer.
+  EXPECT_LT(longest(), 4s);
+}
+
+// The same with the links between controllers cut as well: nothing tells the old leader, so that time alone must do.
+TEST_P(Gap, TimeAloneIsEnough) {
+  const auto jobs = running_arrays();
+  const auto old = leader();
+  cluster_.refuse(old, 60s);
+  cluster_.cut(old, Side::Peers, false, 60s);
+  cluster_.run(300ms);
+  cancel(jobs);
+  cluster_.run(1700ms);
+  ASSERT_GE(cancelled(jobs), 1u);
+  cluster_.state_outage(allowed() + 20s);
+  cluster_.run(allowed() + 45s);
+  EXPECT_EQ(cancelled(jobs), jobs.size());
+  EXPECT_LT(longest(), allowed() - 2s);
+}
+
+// A controller's watch hangs while its renewals are answered; then it is cut off. It kept workers' leases for ttl after its last renewal,
+// sent long after the confirmation of which it knew nothing: 2 s and more past cancel_s on these seeds.
+TEST_P(Gap, RenewalsWithAHangingWatchProlongNothing) {
+  const auto jobs = running_arrays();
+  for (std::size_t i = 0; i < 3; ++i) cluster_.cut(i, Side::Peers, false, 60s);
+  for (std::size_t i = 0; i < 2; ++i) cluster_.stall_watches((leader() + i) % 3, 60s);
+  cluster_.run(300ms);
+  cancel(jobs);
+  cluster_.run(7500ms);
+  ASSERT_GE(cancelled(jobs), 1u);
+  cluster_.state_outage(allowed() + 10s);
+  cluster_.run(allowed() + 40s);
+  EXPECT_LT(longest(), allowed() - 1s);
+}
+
+// A run that waits for its machine's next report when its job's end is confirmed never leaves: nothing starts later.
+TEST_P(Gap, NothingStartsAfterItsEndIsKnown) {
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 12; ++i) {
+    const auto some = services(1, 3);
+    cluster_.run(seconds(s(0.2, 1.2)));
+    cancel(some);
+    jobs.insert(jobs.end(), some.begin(), some.end());
+  }
+  cluster_.run(10s);
+  EXPECT_EQ(cancelled(jobs), jobs.size());
+  for (const auto& uid : jobs) EXPECT_TRUE(cluster_.machines_with(uid).empty());
+  EXPECT_LT(longest(), 3s);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, Gap, testing::Range<std::uint64_t>(1, 7));
+
+// ---- any two or three of them ----
+
+class Pairs : public Meeting {
+ protected:
+  void trouble(std::size_t kind) {
+    const auto node = world_.below(3) == 0 ? world_.below(3) : leader();
+    const auto time = seconds(s(3, 30));
+    switch (kind) {
+      case 0: return cluster_.late_writes(s(0.1, 0.6), time);
+      case 1: return cluster_.late_reports(s(0.1, 0.6), time);
+      case 2: {
+        const auto share = s(0.1, 0.5);
+        return cluster_.deafen_machines([&](const auto&, const auto&) { return world_.chance(share); }, time);
+      }
+      case 3: return cluster_.deafen_machines([zone = settings().zones[world_.below(3)]](const auto&, const auto& z) { return z == zone; }, time);
+      case 4: {
+        const bool hold = world_.chance(0.5);
+        for (auto side : {Side::State, Side::Peers}) cluster_.cut(node, side, hold, time);
+        return;
+      }
+      case 5: return cluster_.refuse(node, time);
+      case 6: return cluster_.state_outage(seconds(s(10, 45)));
+      case 7: return cluster_.state_slow(seconds(s(0.3, 4)), time);
+      case 8: return cluster_.crash(node, seconds(s(0.1, 12)));
+      case 9: return cluster_.freeze(node, time);
+      case 10: return cluster_.crash(node, seconds(s(0.01, 0.05)));
+      case 11: return cluster_.cut_zone(settings().zones[world_.below(3)], time);
+      case 12: return cluster_.stall_watches(node, time);
+      case 13:
+        for (std::size_t i = 0; i < 3; ++i) cluster_.crash(i, seconds(s(0.01, 5)));
+        return;
+      case 14: return cluster_.cut(node, Side::Workers, world_.chance(0.5), time);
+      default: return cluster_.hang(time);
+    }
+  }
+};
+
+// Two or three troubles whose times overlap, around cancellations and the last tasks of jobs. When they are over everything goes on.
+TEST_P(Pairs, BreakNoRule) {
+  std::vector<std::string> all;
+  for (int round = 0; round < 3; ++round) {
+    for (auto& uid : arrays(4, 2 + static_cast<std::uint32_t>(world_.below(2)), s(8, 90))) all.push_back(uid);
+    auto doomed = arrays(4, 3, s(30, 90));
+    for (auto& uid : services(2, 3)) doomed.push_back(uid);
+    cluster_.run(seconds(s(4, 25)));
+    const auto many = 2 + world_.below(2);
+    std::size_t at = world_.below(doomed.size());
+    for (std::size_t i = 0; i < many; ++i) {
+      trouble(world_.below(16));
+      cluster_.run(seconds(s(0, 6)));
+      for (std::size_t k = 0; k < 2; ++k) cluster_.cancel(doomed[at++ % doomed.size()]);
+      cluster_.run(seconds(s(0, 3)));
+    }
+    for (const auto& uid : doomed) cluster_.cancel(uid);
+    cluster_.run(seconds(s(5, 40)));
+    ASSERT_EQ(broken(cluster_.rules()), "") << "seed " << GetParam();
+  }
+  cluster_.run(75s);
+  EXPECT_LT(cluster_.longest_unanswered(), 40s) << "seed " << GetParam();
+  EXPECT_LT(until(600s, [&] { return cluster_.unfinished().empty(); }), 600s) << "seed " << GetParam() << ", first left " << (cluster_.unfinished().empty() ? "" : cluster_.unfinished().front());
+  EXPECT_EQ(cluster_.up_controllers(), 3u);
+}
+/// Sixteen seeds; with MEETING_SEEDS in the environment as many as it says, by hand.
+std::uint64_t pairs() { return std::getenv("MEETING_SEEDS") ? std::stoull(std::getenv("MEETING_SEEDS")) : 16; }
+INSTANTIATE_TEST_SUITE_P(Seeds, Pairs, testing::Range<std::uint64_t>(1, pairs() + 1));
+}  // namespace
+}  // namespace limemast
--- /dev/null
+++ b/tests/meetings/meeting.hpp
@@ -0,0 +1,63 @@
+#pragma once
+#include <gtest/gtest.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "standins/scenes.hpp"
+
+namespace limemast {
+using namespace standins;
+using namespace std::chrono_literals;
+using Side = Cluster::Side;
+
+/// Three controllers, some fifty machines, and jobs that end or are cancelled when the test says so. The rules are checked from outside
+/// after every step: by what machines hold and what users were told.
+class Meeting : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  static wire::Settings settings() {
+    auto s = settings_for_tests();
+    s.teams = {{"red", {400, 600, 0, 0}}, {"blue", {}}};
+    s.tuning.idle_return = wire::Seconds(120);
+    return s;
+  }
+  void SetUp() override {
+    spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+    cluster_.stop_arrivals();
+    cluster_.run(10s);
+  }
+  void TearDown() override {
+    EXPECT_EQ(broken(cluster_.rules()), "");
+    EXPECT_EQ(cluster_.state().unguarded(), std::set<std::string>());
+  }
+  /// Arrays of a few tasks each; `estimate_s` above 60: they are the leader's.
+  std::vector<std::string> arrays(int count, std::uint32_t tasks, double estimate_s) {
+    std::vector<std::string> out;
+    for (int i = 0; i < count; ++i) out.push_back(submit(cluster_, plain(cluster_, false, tasks, i % 2 ? "red" : "blue", estimate_s)));
+    return out;
+  }
+  std::vector<std::string> services(int count, std::uint32_t tasks) {
+    std::vector<std::string> out;
+    for (int i = 0; i < count; ++i) out.push_back(submit(cluster_, plain(cluster_, true, tasks, i % 2 ? "red" : "blue")));
+    return out;
+  }
+  /// How long until `done`, in steps of 100 ms; `most` if it is never so.
+  template <class Done>
+  Duration until(Duration most, Done done) {
+    const auto begun = world_.now();
+    while (world_.now() - begun < most && !done()) cluster_.run(100ms);
+    return world_.now() - begun;
+  }
+  bool all_done(const std::vector<std::string>& uids) const {
+    return std::all_of(uids.begin(), uids.end(), [&](const auto& uid) { return cluster_.told(uid) == "done"; });
+  }
+  std::size_t leader() const { return cluster_.leader(); }
+  std::size_t another() const { return (leader() + 1) % 3; }
+  double s(double low, double high) { return world_.uniform(low, high); }
+
+  World world_{GetParam()};
+  Cluster cluster_{world_, settings(), {.per_pool = 4, .scripted = true}};
+};
+}  // namespace limemast
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -54,7 +54,7 @@
       EXPECT_GE(s.total.done, s.total.asked / 2) << name << ", seed " << GetParam();
     }
   const auto left = cluster.unfinished();
-  EXPECT_TRUE(left.empty()) << left.size() << " left, first " << left.front() << ", seed " << GetParam();
+  EXPECT_TRUE(left.empty()) << left.size() << " left, first " << left.front() << (cluster.accepted(left.front()) ? "" : " (not accepted)") << ", seed " << GetParam();
 }
 /// Thirty days; with SIM_DAYS in the environment as many as it says, by hand.
 std::uint64_t days() { return std::getenv("SIM_DAYS") ? std::stoull(std::getenv("SIM_DAYS")) : 30; }
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -67,8 +67,8 @@
       }, zone);
     };
     c.leave(node, [&c, node, to, request = std::move(request), side, answer, zone] {
-      c.link(node, side, [&c, to, request, side, answer] {
-        if (side == Side::State) return c.state_.handle(request, answer);
+      c.link(node, side, [&c, to, request, side, answer, node] {
+        if (side == Side::State) return c.to_state(node, request, answer);
         if (side == Side::Cloud) return c.cloud(request, answer);
         c.orders(to.substr(0, to.find(':')), request, answer);
       }, zone);
@@ -77,7 +77,9 @@
   Duration busy() const override { return cluster_.nodes_[node_].worked; }
   void send_peer(const std::string& label, const json& message) override {
     auto& c = cluster_;
-    ++c.messages_[message.value("t", "")];
+    const auto kind = message.value("t", "");
+    ++c.messages_[kind];
+    if (c.lost_kinds_.contains(kind)) return;
     for (std::size_t i = 0; i < c.nodes_.size(); ++i) {
       if (c.nodes_[i].settings.label != label) continue;
       c.leave(node_, [&c, i, node = node_, message] {
@@ -156,6 +158,74 @@
   world_.at(time, [this, node] { nodes_[node].late = {}; });
 }
 
+void Cluster::to_state(std::size_t node, const net::HttpRequest& request, const StateService::Answer& answer) {
+  if (nodes_[node].refused > 0) return answer({503, true, "{}"});
+  if (request.path == "/txn" && writes_late_ > 0 && world_.chance(writes_late_)) {
+    world_.at(seconds(world_.uniform(2, 12)), [this, request] { state_.handle(request, [](net::HttpResult) {}); });
+    return;
+  }
+  if (!request.path.starts_with("/changes")) return state_.handle(request, answer);
+  state_.handle(request, [this, node, answer, start = nodes_[node].start](net::HttpResult r) {
+    auto& n = nodes_[node];
+    if (n.start == start && (n.refused > 0 || n.stalled > 0)) return n.unread_watches.push_back([answer, r] { answer(r); });
+    answer(r);
+  });
+}
+
+void Cluster::release_watches(std::size_t node) {
+  auto& n = nodes_[node];
+  if (n.refused > 0 || n.stalled > 0) return;
+  for (auto& deliver : std::exchange(n.unread_watches, {})) deliver();
+}
+
+void Cluster::refuse(std::size_t node, Duration time) {
+  ++nodes_[node].refused;
+  world_.at(time, [this, node] { --nodes_[node].refused, release_watches(node); });
+}
+
+void Cluster::stall_watches(std::size_t node, Duration time) {
+  ++nodes_[node].stalled;
+  world_.at(time, [this, node] { --nodes_[node].stalled, release_watches(node); });
+}
+
+void Cluster::late_writes(double share, Duration time) {
+  writes_late_ = share;
+  world_.at(time, [this] { writes_late_ = 0; });
+}
+
+void Cluster::late_reports(double share, Duration time) {
+  reports_late_ = share;
+  world_.at(time, [this] { reports_late_ = 0; });
+}
+
+void Cluster::deafen_machines(const std::function<bool(const std::string&, const std::string&)>& which, Duration time) {
+  for (auto& [name, w] : workers_) {
+    if (!w.up || !which(name, w.zone)) continue;
+    ++w.deaf;
+    world_.at(time, [this, name = name] { --workers_.at(name).deaf; });
+  }
+}
+
+std::set<std::string> Cluster::machines_with(const std::string& uid) const {
+  std::set<std::string> out;
+  for (const auto& [name, w] : workers_)
+    for (const auto& t : w.tasks)
+      if (t.uid == uid && t.phase != wire::TaskPhase::Exited) out.insert(name);
+  return out;
+}
+
+Duration Cluster::longest_unanswered() const {
+  Duration out{};
+  for (const auto& [uid, job] : jobs_)
+    if (job.accepted && job.final.empty()) out = std::max(out, world_.now() - job.last_answer);
+  return out;
+}
+
+void Cluster::lose_messages(const std::string& kind, Duration time) {
+  lost_kinds_.insert(kind);
+  world_.at(time, [this, kind] { lost_kinds_.erase(kind); });
+}
+
 void Cluster::state_slow(Duration late, Duration time) {
   state_late_ = late;
   world_.at(time, [this] { state_late_ = {}; });
@@ -235,6 +305,7 @@
   n.frozen = false;
   n.freeze_next = {};
   for (auto* queue : {&n.unsent, &n.late_timers, &n.unread}) queue->clear();
+  n.unread_watches.clear();
   n.line.clear();
   n.in_line = false;
   n.busy_until = {};
@@ -483,9 +554,22 @@
     const auto flight = w.in_flight = next_serial_++;
     const auto sent = world_.now();
     const auto tenure = w.tenure;
-    to_controller(w.home, Side::Workers, {"POST", "/hello", wire::to_json(account(w)).dump()}, 4s, [=, this](net::HttpResult r) {
+    const net::HttpRequest request{"POST", "/hello", wire::to_json(account(w)).dump()};
+    if (reports_late_ > 0 && world_.chance(reports_late_)) {
+      const auto later = seconds(world_.uniform(2, 1.6 * settings_.lease.count()));
+      world_.at(later, [this, request, to = world_.below(nodes_.size()), zone = w.zone] { to_controller(to, Side::Workers, request, 4s, [](net::HttpResult) {}, zone); });
+    }
+    to_controller(w.home, Side::Workers, request, 4s, [=, this](net::HttpResult r) {
       when_awake(name, [=, this](Worker& w) {
         if (w.in_flight != flight) return;
+        if (w.deaf > 0) {  // the answer is lost on the way
+          world_.at(std::max(Duration::zero(), sent + 4s - world_.now()), [=, this] {
+            when_awake(name, [=, this](Worker& w) {
+              if (w.in_flight == flight) unheard(w);
+            });
+          });
+          return;
+        }
         w.in_flight = 0;
         // Answers are dropped after 4 s, whenever the machine comes to read them.
         const bool in_time = world_.now() - sent <= 4s;
@@ -503,14 +587,20 @@
           w.home = home;
           report_after(w, seconds(world_.uniform(0, 0.5)));
         } else {
-          w.home = (w.home + 1) % nodes_.size();
-          report_after(w, 1s);
+          unheard(w);
         }
       });
     }, w.zone);
   });
 }
 
+/// No answer that counts: the next controller is tried 1 s later.
+void Cluster::unheard(Worker& w) {
+  w.in_flight = 0;
+  w.home = (w.home + 1) % nodes_.size();
+  report_after(w, 1s);
+}
+
 /// Its next report by itself.
 void Cluster::report_after(Worker& w, Duration delay) {
   world_.at(delay, [this, name = w.name, plan = ++w.plan] {
@@ -619,6 +709,7 @@
   auto found = workers_.find(name);
   if (found == workers_.end()) return;
   when_awake(name, [this, request, answer](Worker& w) {
+    if (w.deaf > 0) return;
     const auto body = json::parse(request.body);
     const auto mandate = body.at("mandate").get<std::uint64_t>();
     if (mandate < w.mandate || body.at("tenure").get<std::uint64_t>() != w.tenure)
@@ -775,6 +866,7 @@
     const auto phase = body.is_object() ? body.value("phase", "") : "";
     // An abort answered meanwhile may have overtaken this answer on the network: that breaks no rule (seed 25).
     if (aborts == job.aborts_answered) rules_.told(uid, r.status, phase);
+    if (r.status == 200) job.last_answer = world_.now();
     if (r.status == 200) job.final = phase == "done" || phase == "cancelled" ? phase : job.final;
     const auto again = job.final.empty() ? world_.uniform(2, 5) : world_.uniform(20, 60);
     world_.at(seconds(again), [this, uid] { poll(uid); });
@@ -788,6 +880,7 @@
     const auto body = json::parse(r.body, nullptr, false);
     const auto phase = body.is_object() ? body.value("phase", "") : "";
     rules_.told(uid, r.status, phase);
+    if (r.status == 200) jobs_.at(uid).final = phase;
     ++jobs_.at(uid).aborts_answered;
     if (r.status != 200) world_.at(seconds(world_.uniform(1, 2)), [this, uid] { cancel(uid); });
   });
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -43,6 +43,8 @@
   void slow(std::size_t node, double times, Duration time);
   /// What others say to this controller is lost on the way; what it says arrives.
   void deafen(std::size_t node, Duration time);
+  /// Messages of this kind between controllers are lost for a while.
+  void lose_messages(const std::string& kind, Duration time);
   /// What this controller sends for a while arrives up to `late` later, in any order, whether it still lives by then or not.
   void delay_sent(std::size_t node, Duration late, Duration time);
   /// Each call of the state service takes up to `late` longer for a while.
@@ -52,6 +54,16 @@
   /// Machines stop for good. The cloud lists them as running for 30 s more, then as failed.
   void kill_machines(std::size_t count);
   void state_outage(Duration time);
+  /// The state service refuses this controller alone; its open watches wait, its grant runs out.
+  void refuse(std::size_t node, Duration time);
+  /// Answers to this controller's watches are held, all its other calls are answered.
+  void stall_watches(std::size_t node, Duration time);
+  /// For a while that share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
+  void late_writes(double share, Duration time);
+  /// Of that share of the workers' reports a copy arrives again later, from 2 s to well over a lease, at any controller; its answer is lost.
+  void late_reports(double share, Duration time);
+  /// These machines are heard, and hear nothing: neither answers to their reports nor direct commands. Machines by `which`.
+  void deafen_machines(const std::function<bool(const std::string& name, const std::string& zone)>& which, Duration time);
   void cloud_outage(Duration time);
   void hang(Duration time);
   void take_machine(bool notice);
@@ -59,6 +71,8 @@
   void random_trouble();
 
   void submit(wire::JobSpec spec, bool cancel = false);
+  /// Its user cancels it, and asks again until it is answered.
+  void cancel(const std::string& uid);
   wire::JobSpec random_job();
   void stop_arrivals() { arrivals_ = false; }
   /// Array jobs that are not over yet, and replicas of services that do not run.
@@ -66,6 +80,12 @@
   /// Tasks of each job that run on some machine now, whoever knows of it.
   std::map<std::string, std::uint32_t> running() const;
   std::size_t up_machines() const;
+  /// Machines with a task of this job that has not exited.
+  std::set<std::string> machines_with(const std::string& uid) const;
+  /// For how long a question about an accepted job that is not over has had no good answer, the longest of all.
+  Duration longest_unanswered() const;
+  bool accepted(const std::string& uid) const { return jobs_.at(uid).accepted; }
+  std::string told(const std::string& uid) const { return jobs_.at(uid).final; }
   /// Machines whose lease has ended at least once.
   std::size_t leases_lost() const;
   /// Machines that controllers have sent to another one, and reports that a controller gets now.
@@ -92,6 +112,7 @@
   struct Worker {
     std::string name, type, zone, address;
     bool spot = false, up = false, hung = false, sick = false, gone = false;
+    int deaf = 0;
     std::uint64_t tenure = 1, tick = 0, mandate = 0, serial = 0, plan = 0;
     std::size_t home = 0;
     Time last_ok{};
@@ -112,6 +133,8 @@
     bool hold = false;
     std::uint64_t start = 0;
     bool deaf = false;
+    int refused = 0, stalled = 0;
+    std::vector<std::function<void()>> unread_watches;  ///< while it is refused, or its watches hang
     Duration late{};
     Duration each{}, worked{};
     double times = 1;
@@ -139,6 +162,9 @@
   void leave(std::size_t node, std::function<void()> send);
   void link(std::size_t node, Side side, std::function<void()> deliver, const std::string& to_zone = {});
   Duration latency() { return seconds(world_.uniform(0.001, 0.01)); }
+  void to_state(std::size_t node, const net::HttpRequest& request, const StateService::Answer& answer);
+  void release_watches(std::size_t node);
+  void unheard(Worker& w);
   void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout, std::function<void(net::HttpResult)> done,
                      const std::string& zone = {});
 
@@ -165,7 +191,6 @@
   void arrive();
   void try_submit(const std::string& uid);
   void poll(const std::string& uid);
-  void cancel(const std::string& uid);
 
   World& world_;
   wire::Settings settings_;
@@ -178,6 +203,7 @@
   std::map<std::string, json> hires_;
   std::deque<json> snapshots_;
   Duration state_late_{};
+  double writes_late_ = 0, reports_late_ = 0;
   std::string cut_zone_;
   std::vector<std::function<void()>> at_border_;
   bool cloud_down_ = false;
@@ -189,6 +215,7 @@
   std::size_t sent_home_ = 0;
   Duration told_to_wait_{};  ///< while an answer is read: its Retry-After
   std::map<std::string, std::size_t> messages_;
+  std::set<std::string> lost_kinds_;
 };
 
 wire::Settings settings_for_tests();
--- a/tests/standins/rules.cpp
+++ b/tests/standins/rules.cpp
@@ -63,10 +63,13 @@
 void Rules::check_time() {
   for (const auto& uid : cancelled_) {
     const auto& job = jobs_.at(uid);
-    if (world_.now() - job.cancelled_at <= net::to_duration(settings_.cancel)) continue;
+    const auto since = world_.now() - job.cancelled_at;
     for (const auto& [index, places] : job.on)
-      for (const auto& [machine, place] : places)
-        if (!hanging_.contains(machine)) broke("ran_cancelled", wire::task_name(uid, index) + " on " + machine);
+      for (const auto& [machine, place] : places) {
+        if (hanging_.contains(machine)) continue;
+        longest_after_cancel_ = std::max(longest_after_cancel_, since);
+        if (since > net::to_duration(settings_.cancel)) broke("ran_cancelled", wire::task_name(uid, index) + " on " + machine);
+      }
   }
 }
 }  // namespace limemast::standins
--- a/tests/standins/rules.hpp
+++ b/tests/standins/rules.hpp
@@ -31,6 +31,8 @@
 
   const std::map<std::string, std::string>& broken() const { return broken_; }
   std::size_t starts() const { return starts_; }
+  /// The longest after its user was told that the job is cancelled that a task of it was still on a machine.
+  Duration longest_after_cancel() const { return longest_after_cancel_; }
 
  private:
   struct Place {
@@ -54,5 +56,6 @@
   std::set<std::string> hanging_;
   std::map<std::string, std::string> broken_;
   std::size_t starts_ = 0;
+  Duration longest_after_cancel_{};
 };
 }  // namespace limemast::standins
--- a/tests/standins/state_service.cpp
+++ b/tests/standins/state_service.cpp
@@ -1,5 +1,7 @@
 #include "standins/state_service.hpp"
 
+#include <algorithm>
+
 namespace limemast::standins {
 namespace {
 std::string parameter(const std::string& path, const std::string& name) {
@@ -131,6 +133,11 @@
   for (const auto& w : body.at("writes"))
     if (auto p = w.find("permit"); p != w.end() && !grants_.contains(p->get<std::uint64_t>()))
       return answer(reply(400, {{"error", "no such lease"}}));
+  for (const auto& w : body.at("writes")) {
+    const auto& key = w.contains("remove") ? w["remove"] : w.at("set");
+    const auto& when = body.at("when");
+    if (std::none_of(when.begin(), when.end(), [&](const json& c) { return c.at("key") == key; })) unguarded_.insert(key.get<std::string>());
+  }
   json failed = json::array();
   for (const auto& c : body.at("when")) {
     auto it = entries_.find(c.at("key").get<std::string>());
--- a/tests/standins/state_service.hpp
+++ b/tests/standins/state_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <deque>
+#include <set>
 
 #include "standins/world.hpp"
 
@@ -13,6 +14,8 @@
   void handle(const net::HttpRequest& request, Answer answer);
   void set_outage(bool on);
   std::size_t handled() const { return handled_; }
+  /// Keys that some transaction wrote without a condition on them: carried out late, it would replace what is newer.
+  const std::set<std::string>& unguarded() const { return unguarded_; }
   std::size_t keys() const { return entries_.size(); }
   const json* value(const std::string& key) const {
     auto it = entries_.find(key);
@@ -58,6 +61,7 @@
   World& world_;
   std::size_t log_size_;
   std::size_t handled_ = 0;
+  std::set<std::string> unguarded_;
   bool outage_ = false;
   std::uint64_t epoch_ = 0;
   std::uint64_t next_grant_ = 1;
