--- a/src/cloud/fleet.cpp
+++ b/src/cloud/fleet.cpp
@@ -39,7 +39,7 @@
              cluster::Membership& membership, cluster::JobIndex& index, machines::Registry& registry, jobs::Book& book,
              const drains::Drains& drains)
     : runtime_(runtime), settings_(settings), client_(client), mirror_(mirror), membership_(membership), index_(index),
-      registry_(registry), book_(book), drains_(drains), calls_(settings.cloud_rps * kCallShare, settings.cloud_rps), holdup_(net::to_duration(settings.report)) {}
+      registry_(registry), book_(book), drains_(drains), calls_(settings.cloud_rps * kCallShare, settings.cloud_rps), holdup_(net::to_duration(settings.report), net::to_duration(settings.lease)) {}
 
 void Fleet::start(Unheard unheard) {
   unheard_ = std::move(unheard);
@@ -232,7 +232,7 @@
   }
   for (const auto& name : holdup_.judge(generation, unproven, registered, runtime_.now()))
     if (to_release_.insert(name).second)
-      spdlog::info("machine {} is silent and holds up what was taken over: giving it back, generation {}", name, membership_.generation().number);
+      spdlog::info("machine {} is silent or deaf and holds up what was taken over: giving it back, generation {}", name, membership_.generation().number);
 }
 
 double Fleet::units(const wire::MachineType& type, const wire::JobSpec& spec) const {
--- a/src/handover/holdup.cpp
+++ b/src/handover/holdup.cpp
@@ -13,6 +13,7 @@
 constexpr double kCutZone = 0.5;
 /// More than this share of all silent: it is we who do not hear.
 constexpr double kMostOfAll = 0.4;
+constexpr double kLeaseDrift = 1.001;
 }  // namespace
 
 std::vector<std::string> Holdup::judge(std::uint64_t generation, const std::vector<Unproven>& unproven,
@@ -30,15 +31,16 @@
   std::size_t all = 0;
   for (const auto& [zone, count] : registered) all += count;
   if (static_cast<double>(unproven.size()) > kMostOfAll * static_cast<double>(all)) return {};
+  const bool deaf = now - begun_ > net::to_duration(net::to_seconds(lease_) * kLeaseDrift);
   std::map<std::string, std::size_t> silent;
-  for (const auto& u : unproven) silent[u.zone] += u.silent;
+  for (const auto& u : unproven) silent[u.zone] += u.silent || deaf;
   std::vector<std::string> out;
   for (const auto& u : unproven) {
     // One that was taken away under the leader before us stands in no list: nobody knows its zone, and no cut hides it.
     const auto there = registered.find(u.zone);
     const auto of = there == registered.end() ? 0 : there->second;
     const bool cut = !u.zone.empty() && static_cast<double>(silent[u.zone]) > kCutZone * static_cast<double>(of);
-    if (u.silent && !cut) out.push_back(u.machine);
+    if ((u.silent || deaf) && !cut) out.push_back(u.machine);
   }
   return out;
 }
--- a/src/handover/holdup.hpp
+++ b/src/handover/holdup.hpp
@@ -10,7 +10,7 @@
 struct Unproven {
   std::string machine;
   std::string zone;     ///< "": not known
-  bool silent = false;  ///< nobody has heard it for longer than a report and a refusal take
+  bool silent = false;  ///< no member has heard it for longer than a report and a refusal take
 };
 
 /// Decides which machines a takeover stops waiting for. Work that was taken over is handed out only when every machine
@@ -18,12 +18,13 @@
 /// proves nothing for a lease and more, in which all that waits stands still. Giving it back is a proof at once.
 ///
 /// That costs a machine that merely hangs its place, so a few that are silent are given up, and those of a zone that is
-/// cut off (most of its machines silent) or behind a controller that cannot be heard are waited for.
+/// cut off (most of its machines silent) or behind a controller that cannot be heard are waited for. One that is heard and has not shown the
+/// mandate for a lease is deaf: what it held when the generation began has ended by its lease, and it is as good as silent.
 /// Pure logic: the caller gives the machines back.
 class Holdup {
  public:
   /// `report`: how often machines report. Patience follows from it.
-  explicit Holdup(net::Duration report) : report_(report) {}
+  Holdup(net::Duration report, net::Duration lease) : report_(report), lease_(lease) {}
 
   /// To be called every so often while work waits for `generation` to be shown. `registered`: machines by zone.
   /// Returns the machines to be given back now.
@@ -34,6 +35,7 @@
 
  private:
   net::Duration report_;
+  net::Duration lease_;
   std::uint64_t generation_ = 0;
   net::Time begun_{};
   net::Time progress_{};  ///< when a machine last showed itself
