What machines show is taken over also while not entitled; a fence is said again; both found by the search of pairs

Change: Book::on_view takes tasks over whatever the entitlement; a host that is asked about such an order says the mandate again.

--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -257,7 +257,9 @@
     // Most tasks that a controller reads of are of others' jobs: those are passed first.
     auto* job = find(t.uid);
     if (!job || index_.owner_of(t.uid) != membership_.self()) continue;  // ended, which whoever hears the machine sees to; or not taken up yet
-    if (job->over || t.index >= job->open.spec.tasks || !membership_.entitled()) continue;
+    // Also while we are not entitled, as when renewals are answered late: the report counts as read below, and what it shows would be
+    // unknown here and run twice once we are again (meetings, seeds 30, 61, 158). Orders that follow from it go out by whoever is.
+    if (job->over || t.index >= job->open.spec.tasks) continue;
     auto found = job->bound.find(t.index);
     const bool is_bound = found != job->bound.end() && found->second.machine == machine && found->second.attempt == t.attempt;
     if (is_bound) continue;
--- a/src/machines/deliveries.cpp
+++ b/src/machines/deliveries.cpp
@@ -133,19 +133,26 @@
   if (order->verb == wire::Verb::Kill) flush_soon(machine);
 }
 
+void Host::tell_fence(const std::string& machine, std::uint64_t mandate) { router_.broadcast("fence", {{"machine", machine}, {"mandate", mandate}}); }
+
 void Host::on_query(const cluster::Tag& from, const json& m) {
   const auto machine = m.at("machine").get<std::string>();
   Delivery d;
   d.order = {wire::Verb::Run, m.at("uid").get<std::string>(), m.at("index").get<std::uint32_t>(),
              m.at("attempt").get<std::uint64_t>(), wire::Seconds(0)};
   d.owner = from;
+  const auto* view = registry_.find(machine);
   if (auto it = hosted_.find(machine); it != hosted_.end()) {
     const bool pending = std::any_of(it->second.deliveries.begin(), it->second.deliveries.end(), [&](const Delivery& x) {
       return x.order.uid == d.order.uid && x.order.index == d.order.index && x.order.attempt == d.order.attempt;
     });
-    if (pending) return;
+    if (pending) {
+      // It waits for a mandate above the one it was sent under. Whoever hears the machine by now may not know of that: the word was lost, or
+      // came between two hosts. The task was bound for ever then (meetings, seeds 207, 254, 297).
+      if (view && view->host != membership_.self() && view->report.mandate < it->second.fence) tell_fence(machine, it->second.fence);
+      return;
+    }
   }
-  const auto* view = registry_.find(machine);
   const bool present = view && view->report.tenure == m.at("tenure").get<std::uint64_t>() &&
                        view->report.find(d.order.uid, d.order.index, d.order.attempt);
   // The order may still be on its way to us: once we have said that it never came, it must not be carried out.
@@ -228,7 +235,7 @@
     h.direct_bad_until = runtime_.now() + kDirectPause;
     if (std::any_of(h.deliveries.begin(), h.deliveries.end(), is_sent)) {
       h.fence = std::max(h.fence, mandate + 1);
-      router_.broadcast("fence", {{"machine", machine}, {"mandate", mandate + 1}});
+      tell_fence(machine, h.fence);
       spdlog::info("machine {} did not answer a direct order, generation {}: raising its mandate", machine,
                    membership_.generation().number);
     }
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -84,6 +84,7 @@
   void pump(const std::string& machine);
   void flush_soon(const std::string& machine);
   void flush_direct(const std::string& machine);
+  void tell_fence(const std::string& machine, std::uint64_t mandate);
   void on_direct(const std::string& machine, std::uint64_t mandate, const std::vector<wire::Order>& sent, net::HttpResult result);
   void tell_others(const wire::Report& report, bool hello);
   void register_soon(const std::string& machine);
--- a/tests/meetings/cancel_test.cpp
+++ b/tests/meetings/cancel_test.cpp
@@ -152,5 +152,8 @@
 /// Sixteen seeds; with MEETING_SEEDS in the environment as many as it says, by hand.
 std::uint64_t pairs() { return std::getenv("MEETING_SEEDS") ? std::stoull(std::getenv("MEETING_SEEDS")) : 16; }
 INSTANTIATE_TEST_SUITE_P(Seeds, Pairs, testing::Range<std::uint64_t>(1, pairs() + 1));
+// Seeds that once failed. Run twice, as what machines showed to an owner that was not entitled just then was lost on it: 30, 61, 158. A task bound for
+// ever: 178, 207, 254, 297.
+INSTANTIATE_TEST_SUITE_P(Found, Pairs, testing::Values<std::uint64_t>(30, 61, 158, 178, 207, 254, 297));
 }  // namespace
 }  // namespace limemast
--- a/tests/meetings/meetings_test.cpp
+++ b/tests/meetings/meetings_test.cpp
@@ -190,6 +190,21 @@
   EXPECT_LT(until(150s, [&] { return all_done(jobs); }), 150s);
 }
 
+// A direct order that gets no answer waits for a higher mandate on its machine. The machine moves on to another host, and the word of that mandate
+// is lost: it was said once, and the task was bound for ever.
+class LostFence : public Meeting {};
+TEST_P(LostFence, IsSaidAgain) {
+  cluster_.lose_messages("fence", 60s);
+  std::vector<std::string> all;
+  for (int i = 0; i < 10; ++i) {
+    for (auto& uid : arrays(2, 4, 12)) all.push_back(uid);
+    cluster_.run(seconds(s(0.3, 1.5)));
+    for (std::size_t n = 0; n < 3; ++n) cluster_.cut(n, Side::Workers, false, seconds(s(2, 5)));
+    cluster_.run(seconds(s(3, 6)));
+  }
+  EXPECT_LT(until(250s, [&] { return all_done(all); }), 250s);
+}
+
 #define SEEDS(Name) INSTANTIATE_TEST_SUITE_P(Seeds, Name, testing::Range<std::uint64_t>(1, 7))
 SEEDS(FewTasks);
 SEEDS(Apart);
@@ -200,5 +215,6 @@
 SEEDS(HandOver);
 SEEDS(Slow);
 SEEDS(LostGrant);
+SEEDS(LostFence);
 }  // namespace
 }  // namespace limemast
