--- a/tests/meetings/meeting.hpp
+++ b/tests/meetings/meeting.hpp
@@ -55,7 +55,6 @@
     return std::all_of(uids.begin(), uids.end(), [&](const auto& uid) { return cluster_.told(uid) == "done"; });
   }
   std::size_t leader() const { return cluster_.leader(); }
-  std::size_t another() const { return (leader() + 1) % 3; }
   double s(double low, double high) { return world_.uniform(low, high); }
 
   World world_{GetParam()};
