Mirror: what it has shown once it never unsays

Cause: after a 410 a listing took the place of what was shown, with its own older revision; a look that was answered while the listing was under way was taken back by it: a job accepted in between vanished from the index, its tasks ended and its user was told 404. And a listing of several pages shows no single moment. Change: a listing of several pages takes in what changed since its first page before anybody sees it; one that is older than what is shown is read anew. Reading a change is one function for both ways.

--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -24,6 +24,32 @@
   };
   return stamp != change.end() && stamp->is_number_unsigned() && (text("remove") || (text("set") && change.contains("v")));
 }
+
+/// What an answer to a watch tells; nullptr if it is none, or cannot be read.
+const json* news_in(const json& body) {
+  static const json kNone = json::array();
+  const auto epoch = body.is_object() ? body.find("epoch") : body.end();
+  if (epoch == body.end() || !epoch->is_number_unsigned()) return nullptr;
+  const auto news = body.find("news");
+  if (news == body.end()) return &kNone;
+  return std::all_of(news->begin(), news->end(), readable) ? &*news : nullptr;
+}
+
+/// Takes one change into the entries; "" if it is no news to them, else its key.
+std::string apply(std::map<std::string, Entry>& entries, const json& change) {
+  const auto stamp = change.at("stamp").get<std::uint64_t>();
+  const bool removed = change.contains("remove");
+  const auto key = change.at(removed ? "remove" : "set").get<std::string>();
+  const auto it = entries.find(key);
+  if (it != entries.end() && it->second.stamp >= stamp) return {};
+  if (removed) {
+    if (it == entries.end()) return {};
+    entries.erase(it);
+  } else {
+    entries[key] = {change.at("v"), stamp};
+  }
+  return key;
+}
 }  // namespace
 
 Mirror::Mirror(net::Runtime& runtime, Client& client, std::string prefix)
@@ -63,24 +89,40 @@
       return retry([this] { list(""); });
     }
     if (body.value("truncated", false) && !last.empty()) return list(last);
-
-    std::vector<Change> changes;
-    for (const auto& [key, entry] : entries_)
-      if (!listing_.contains(key)) changes.push_back({key, true});
-    for (const auto& [key, entry] : listing_) {
-      const auto* old = find(key);
-      if (!old || old->stamp != entry.stamp) changes.push_back({key, false});
-    }
-    entries_ = std::move(listing_);
-    listing_.clear();
-    epoch_ = listing_epoch_;
-    shown_until_ = std::max(shown_until_, listing_sent_);
-    synced_ = true;
-    listener_(changes);
-    watch();
+    from.empty() ? publish(listing_epoch_) : complete();
   });
 }
 
+void Mirror::complete() {
+  client_.call(Priority::Vital, {"GET", "/changes?prefix=" + prefix_ + "&from=" + std::to_string(listing_epoch_) + "&waitMs=0", {}}, kListTimeout,
+               [this](net::HttpResult r) {
+                 const auto body = r.status == 200 ? json::parse(r.body, nullptr, false) : json();
+                 const auto* news = news_in(body);
+                 if (!news) return retry([this] { list(""); });
+                 for (const auto& change : *news) apply(listing_, change);
+                 publish(body.at("epoch").get<std::uint64_t>());
+               });
+}
+
+void Mirror::publish(std::uint64_t epoch) {
+  // A look that was under way may have shown more meanwhile.
+  if (epoch < epoch_) return list("");
+  std::vector<Change> changes;
+  for (const auto& [key, entry] : entries_)
+    if (!listing_.contains(key)) changes.push_back({key, true});
+  for (const auto& [key, entry] : listing_) {
+    const auto* old = find(key);
+    if (!old || old->stamp != entry.stamp) changes.push_back({key, false});
+  }
+  entries_ = std::move(listing_);
+  listing_.clear();
+  epoch_ = epoch;
+  shown_until_ = std::max(shown_until_, listing_sent_);
+  synced_ = true;
+  listener_(changes);
+  watch();
+}
+
 void Mirror::watch() {
   const auto wait = std::chrono::milliseconds(kWait).count();
   client_.call(Priority::Vital,
@@ -101,37 +143,21 @@
 }
 
 bool Mirror::take(const json& body, net::Time sent) {
-  const auto epoch = body.is_object() ? body.find("epoch") : body.end();
-  if (epoch == body.end() || !epoch->is_number_unsigned()) return false;
-  std::vector<Change> changes;
-  const auto news = body.find("news");
-  if (news != body.end() && !std::all_of(news->begin(), news->end(), readable)) return false;
-  if (news != body.end()) {
-    for (const auto& n : *news) {
-      const auto stamp = n.at("stamp").get<std::uint64_t>();
-      // Two answers may overlap, and come in any order. What the mirror has passed already must not come back: a key
-      // set and removed meanwhile would stay for ever.
-      if (stamp <= epoch_) continue;
-      const bool removed = n.contains("remove");
-      const auto key = n.at(removed ? "remove" : "set").get<std::string>();
-      auto it = entries_.find(key);
-      if (it != entries_.end() && it->second.stamp >= stamp) continue;
-      if (removed) {
-        if (it == entries_.end()) continue;
-        entries_.erase(it);
-      } else {
-        entries_[key] = {n.at("v"), stamp};
-      }
-      changes.push_back({key, removed});
-    }
+  const auto* news = news_in(body);
+  if (!news) return false;
+  // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
+  std::vector<std::string> changed;
+  std::set<std::string> seen;
+  for (const auto& change : *news) {
+    // Two answers may overlap, and come in any order. What the mirror has passed already must not come back: a key
+    // set and removed meanwhile would stay for ever.
+    if (change.at("stamp").get<std::uint64_t>() <= epoch_) continue;
+    if (auto key = apply(entries_, change); !key.empty() && seen.insert(key).second) changed.push_back(std::move(key));
   }
-  epoch_ = std::max(epoch_, epoch->get<std::uint64_t>());
+  epoch_ = std::max(epoch_, body.at("epoch").get<std::uint64_t>());
   shown_until_ = std::max(shown_until_, sent);
-  // One entry a key, in its final state: after a pause one answer may hold a key's birth and its end.
-  std::set<std::string> told;
   std::vector<Change> final;
-  for (const auto& c : changes)
-    if (told.insert(c.key).second) final.push_back({c.key, !entries_.contains(c.key)});
+  for (const auto& key : changed) final.push_back({key, !entries_.contains(key)});
   if (!final.empty()) listener_(final);
   return true;
 }
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -31,6 +31,10 @@
 
  private:
   void list(const std::string& from);
+  /// A listing of several pages shows no single moment: what changed since its first page is taken in before anybody sees it.
+  void complete();
+  /// The listing, as of this revision, takes the place of what was shown. Never by something older: then it is read anew.
+  void publish(std::uint64_t epoch);
   void watch();
   /// Takes in the answer to a watch that was sent at `sent`; false if it is none.
   bool take(const json& body, net::Time sent);
@@ -40,6 +44,8 @@
   Client& client_;
   std::string prefix_;
   Listener listener_;
+  // Entries, revision and freshness move forward together or not at all: what the mirror has shown once, an acceptance or an end that a user
+  // was told of among it, it never unsays.
   std::map<std::string, Entry> entries_;
   std::map<std::string, Entry> listing_;
   std::uint64_t listing_epoch_ = 0;
--- a/tests/store/mirror_test.cpp
+++ b/tests/store/mirror_test.cpp
@@ -29,15 +29,16 @@
     ++requests;
     world_.at(5ms, [this, request, finish] {
       const bool waits = request.path.find("waitMs=0") == std::string::npos && request.path.rfind("/changes", 0) == 0;
-      service_.handle(request, [this, finish, waits](net::HttpResult r) {
-        if (!cut) world_.at(waits ? watch_latency : 5ms, [finish, r] { finish(r); });
+      const bool lists = request.path.rfind("/keys?", 0) == 0;
+      service_.handle(request, [this, finish, waits, lists](net::HttpResult r) {
+        if (!cut) world_.at(waits ? watch_latency : lists ? list_latency : 5ms, [finish, r] { finish(r); });
       });
     });
   }
   net::Duration busy() const override { return {}; }
   void send_peer(const std::string&, const wire::json&) override {}
   bool cut = false;
-  net::Duration watch_latency = 5ms;
+  net::Duration watch_latency = 5ms, list_latency = 5ms;
   std::size_t requests = 0;
 
  private:
@@ -169,5 +170,50 @@
   EXPECT_EQ(mirror_->find("w/old"), nullptr);
   EXPECT_EQ(mirror_->entries().size(), 50u);
 }
+
+// A listing is under way when a look shows a job that was accepted since: the listing is older, and must not take that back. It did; the job was taken for ended,
+// and its tasks were stopped.
+TEST_F(MirrorTest, AnOlderListingTakesNothingBack) {
+  run(1s);
+  auto elsewhere = [&](int n) {
+    for (int i = 0; i < n; ++i) service_.put("elsewhere", i);
+  };
+  elsewhere(10);
+  mirror_->refresh([](bool ok) { EXPECT_TRUE(ok); });
+  run(20ms);
+  runtime_.list_latency = 1s;
+  elsewhere(15);  // the log no longer reaches the open watch, but what the look has read
+  run(30ms);
+  service_.put("w/accepted", 1);
+  mirror_->refresh([](bool ok) { EXPECT_TRUE(ok); });
+  run(20ms);
+  ASSERT_NE(mirror_->find("w/accepted"), nullptr);
+  const auto epoch = mirror_->epoch();
+  told_.clear();
+  for (int i = 0; i < 40; ++i) {
+    run(100ms);
+    ASSERT_NE(mirror_->find("w/accepted"), nullptr);
+    EXPECT_GE(mirror_->epoch(), epoch);
+  }
+  EXPECT_TRUE(told_.empty());
+  service_.put("w/later", 1);
+  run(3s);
+  EXPECT_NE(mirror_->find("w/later"), nullptr);
+}
+
+// Changes fall between the pages of a listing: whoever sees a later one sees those before it as well.
+TEST_F(MirrorTest, AListingOfSeveralPagesIsOneMoment) {
+  for (int i = 0; i < 700; ++i) service_.put("w/" + std::to_string(1000 + i), 1);
+  run(12ms);  // the first page was read, the second is asked for
+  ASSERT_FALSE(mirror_->synced());
+  service_.put("w/1001", 2);
+  service_.remove("w/1002");
+  service_.put("w/1690", 2);
+  while (!mirror_->synced()) run(1ms);
+  ASSERT_NE(mirror_->find("w/1690"), nullptr);
+  EXPECT_EQ(mirror_->find("w/1690")->value, 2);
+  EXPECT_EQ(mirror_->find("w/1001")->value, 2);
+  EXPECT_EQ(mirror_->find("w/1002"), nullptr);
+}
 }  // namespace
 }  // namespace limemast::store
