Users: known jobs are refused nowhere, those that can never run are, cancellations follow the look

Cause, from reading: a repeated submission of a known job got 422 at a controller that does not know the job and finds no type for it any more; a zone that does not exist, or where no allowed type is offered, was accepted and waited for ever; a cancellation at a controller whose index lagged was answered 503 though a look had just shown the job; the ends that are remembered went by name, not by age; an owner's answer could be passed on after its job's end had been heard. Change: 422 only after the state service has said that the job is unknown; the zone counts; after the look the cancellation goes to the owner; ends go oldest first; what is known of an end goes before the owner's word.

--- a/src/jobs/frontdesk.cpp
+++ b/src/jobs/frontdesk.cpp
@@ -55,9 +55,14 @@
 std::optional<std::string> FrontDesk::never_runs(const wire::JobSpec& s) const {
   const auto team = settings_.teams.find(s.team);
   if (team == settings_.teams.end()) return "owner: unknown team";
-  bool fits = false;
-  for (const auto& [name, type] : registry_.types()) fits = fits || (s.allows_type(name) && type.fits(s));
+  bool fits = false, there = false;
+  for (const auto& [name, type] : registry_.types()) {
+    if (!s.allows_type(name) || !type.fits(s)) continue;
+    fits = true;
+    there = there || !s.zone || std::find(type.zones.begin(), type.zones.end(), *s.zone) != type.zones.end();
+  }
   if (!fits) return "flavors: a task fits no allowed machine type";
+  if (!there) return "district: no allowed machine type that a task fits is offered there";
   const double times = s.service || s.gang ? s.tasks : 1;
   const auto& t = team->second;
   if ((t.cpus_max > 0 && s.cpus * times > t.cpus_max + machines::Room::kSlack) ||
@@ -76,7 +81,13 @@
       respond(known == Known::Yes ? status_of(uid, s) : error(503, "undecided"));
     });
   }
-  if (auto why = never_runs(*spec)) return respond(error(422, *why));
+  if (auto why = never_runs(*spec)) {
+    // An accepted job is not refused, whatever has become of the types since, and at whichever controller it is repeated.
+    return questions_.look_up(spec->uid, [respond, uid = spec->uid, why = std::move(*why)](Known known, Status s) {
+      if (known == Known::Yes) return respond(status_of(uid, s));
+      respond(known == Known::No ? error(422, why) : error(503, "undecided"));
+    });
+  }
   // What the state service cannot take at present is turned away at once, with the time to come back.
   const auto wait = client_.backlog();
   const bool away = wait > kAcceptPatience;
@@ -128,24 +139,28 @@
 
 void FrontDesk::abort(const std::string& uid, net::Responder respond) {
   if (!wire::valid_job_id(uid)) return respond(error(404, "no such job"));
-  const auto own = book_.status(uid);
-  const auto* open = index_.find(uid);
-  const auto owner = index_.owner_of(uid);
-  if ((own || (open && !open->ended)) && aborts_.size() < kMaxAborts && membership_.entitled()) {
-    if (!own && owner == membership_.self()) return respond(error(503, "being taken over"));
-    const auto id = next_abort_++;
-    aborts_[id] = {respond, uid};
-    router_.send(own ? membership_.self() : owner, "abort", {{"id", id}, {"uid", uid}});
-    runtime_.after(own ? net::Duration(kOwnAbortTimeout) : net::Duration(kAbortTimeout), [this, id] {
-      if (auto node = aborts_.extract(id); !node.empty()) node.mapped().respond(error(503, "undecided"));
-    });
-    return;
-  }
-  questions_.look_up(uid, [respond, uid](Known known, Status s) {
+  if (pass_to_owner(uid, respond)) return;
+  questions_.look_up(uid, [this, respond, uid](Known known, Status s) {
     if (known == Known::No) return respond(error(404, "no such job"));
     if (known == Known::Yes && (s.phase == Phase::Done || s.phase == Phase::Cancelled))
       return respond({200, json{{"uid", uid}, {"phase", name_of(s.phase)}}.dump(), 0, {}});
-    respond(error(503, "undecided"));
+    // The look has shown it: it was accepted elsewhere a moment ago, and is cancelled at once.
+    if (known != Known::Yes || !pass_to_owner(uid, respond)) respond(error(503, "undecided"));
+  });
+}
+
+bool FrontDesk::pass_to_owner(const std::string& uid, const net::Responder& respond) {
+  const auto own = book_.status(uid);
+  const auto* open = index_.find(uid);
+  if ((!own && (!open || open->ended)) || aborts_.size() >= kMaxAborts || !membership_.entitled()) return false;
+  const auto owner = own ? membership_.self() : index_.owner_of(uid);
+  if (!own && owner == membership_.self()) return false;  // not taken up yet
+  const auto id = next_abort_++;
+  aborts_[id] = {respond, uid};
+  router_.send(owner, "abort", {{"id", id}, {"uid", uid}});
+  runtime_.after(own ? net::Duration(kOwnAbortTimeout) : net::Duration(kAbortTimeout), [this, id] {
+    if (auto node = aborts_.extract(id); !node.empty()) node.mapped().respond(error(503, "undecided"));
   });
+  return true;
 }
 }  // namespace limemast::jobs
--- a/src/jobs/frontdesk.hpp
+++ b/src/jobs/frontdesk.hpp
@@ -13,6 +13,8 @@
 
  private:
   void accept(const wire::JobSpec& spec, unsigned tries, net::Responder respond);
+  /// Has the job's owner cancel it; false if nobody is known here who could.
+  bool pass_to_owner(const std::string& uid, const net::Responder& respond);
   std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
 
   net::Runtime& runtime_;
--- a/src/jobs/questions.cpp
+++ b/src/jobs/questions.cpp
@@ -30,8 +30,11 @@
 }
 
 void Questions::remember(const std::string& uid, const Status& status) {
-  if (finals_.size() >= kFinalsKept) finals_.erase(finals_.begin());
-  finals_[uid] = status;
+  if (!finals_.insert_or_assign(uid, status).second) return;
+  finals_order_.push_back(uid);
+  if (finals_order_.size() <= kFinalsKept) return;
+  finals_.erase(finals_order_.front());
+  finals_order_.pop_front();
 }
 
 void Questions::look_up(const std::string& uid, Lookup done) {
@@ -106,6 +109,11 @@
   for (std::size_t i = 0; i < batch.size(); ++i) {
     const auto* state = i < states.size() && states[i].is_array() ? &states[i] : nullptr;
     const auto phase = state ? state->at(0).get<unsigned>() : 0u;
+    // Its end may have come here, by another way, while the owner's word was on its way.
+    if (const auto end = finals_.find(batch[i].uid); end != finals_.end()) {
+      batch[i].done(Known::Yes, end->second);
+      continue;
+    }
     if (!state || phase > static_cast<unsigned>(Phase::Cancelled) || !membership_.entitled()) {
       untold.push_back(std::move(batch[i]));
       continue;
--- a/src/jobs/questions.hpp
+++ b/src/jobs/questions.hpp
@@ -52,6 +52,7 @@
   Book& book_;
   Ends& ends_;
   std::unordered_map<std::string, Status> finals_;
+  std::deque<std::string> finals_order_;  ///< as they were heard: the oldest go first
   std::map<Tag, Batch> for_owner_;  ///< not sent yet
   bool flush_armed_ = false;
   std::map<std::uint64_t, Batch> at_owner_;
--- a/tests/wire/job_test.cpp
+++ b/tests/wire/job_test.cpp
@@ -40,6 +40,20 @@
   EXPECT_FALSE(parse_submission(json(json::value_t::discarded), error));
 }
 
+TEST(Submission, EachAbsentFieldIsNamed) {
+  for (const std::string field : {"uid", "workload", "owner", "shape", "rank", "shards", "cpus", "accelerators", "ramGb", "bundle", "sizeGb", "samePlace", "apart",
+                                  "reclaimable", "expectS", "snapshotEveryS", "snapshotCostS"}) {
+    auto body = example();
+    body.erase(field);
+    std::string error;
+    EXPECT_FALSE(parse_submission(body, error)) << field;
+    EXPECT_EQ(error, field);
+    body[field] = json::object();
+    EXPECT_FALSE(parse_submission(body, error)) << field;
+    EXPECT_EQ(error, field);
+  }
+}
+
 TEST(Submission, NullableFieldsMayBeMissingAndUnknownOnesAreIgnored) {
   auto body = example();
   for (const char* field : {"flavors", "district", "dueS"}) body.erase(field);
