--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -76,6 +76,7 @@
     if (cluster::keys::under(c.key, cluster::keys::kOpenJobs, name)) {
       if (c.removed) {
         if (index_.end(name, runtime_.now())) on_end(name);
+        book_.on_record_gone(name);
       } else {
         if (!index_.put(name, *mirror_.find(c.key))) client_.unreadable().note(c.key);
         operators_.on_job(name);
--- a/src/cluster/job_index.hpp
+++ b/src/cluster/job_index.hpp
@@ -16,6 +16,8 @@
   std::optional<std::uint32_t> left;  ///< tasks not handed out, as its owner last said
   std::optional<std::uint32_t> unfinished;  ///< tasks that machines are needed for, likewise
   bool spec_known = true;
+  /// What each of its tasks takes of its team's limit: out of its own record, or of its final one where no more than that is left.
+  bool need_known = true;
   bool wanted() const { return !ended && spec_known; }  ///< machines are needed for it
   bool ended = false;  ///< its record is gone: done or cancelled; kept for what is still on machines
   bool final = false;  ///< and its final record was seen: a mirror that lags must not show it as open again
@@ -44,6 +46,12 @@
     return {{"spec", wire::to_json(spec)}, {"by", by}, {"generation", generation}, {"long", is_long}, {"at", ms}};
   }
 
+  /// How a job ended. Its open record goes with the same transaction, so what its tasks take is said here as well: some may still be on machines
+  /// that nobody can reach, and count for their team's limit under a leader that has never heard of the job.
+  static wire::json final_record(const wire::JobSpec& spec, const char* phase) {
+    return {{"phase", phase}, {"tasks", spec.tasks}, {"team", spec.team}, {"cpus", spec.cpus}, {"accelerators", spec.accelerators}};
+  }
+
   /// False if the record cannot be read. The job stays as it was known, and one that was not is known as pending: nobody
   /// hands its tasks out, and what it takes on a machine is unknown, until its record can be read.
   bool put(const std::string& uid, const store::Entry& entry) {
@@ -53,7 +61,7 @@
     if (good || !jobs_.contains(uid)) {
       if (!good) job = OpenJob{};
       job.spec.uid = uid;
-      job.spec_known = good;
+      job.spec_known = job.need_known = good;
       jobs_[uid] = std::move(job);
     }
     jobs_[uid].stamp = entry.stamp;
@@ -76,12 +84,13 @@
   }
   /// `told`: called whenever an owner has said how many tasks of a job are left.
   void watch_left(std::function<void(const OpenJob&)> told) { on_left_ = std::move(told); }
-  /// Its end stands in the state service, whatever our mirror shows by now. False if that was known.
-  bool end_for_good(const std::string& uid, net::Time now) {
+  /// Its end stands in the state service, whatever our mirror shows by now. False if that was known. `record`: its final record, if that was read.
+  bool end_for_good(const std::string& uid, net::Time now, const wire::json* record = nullptr) {
     auto [it, unknown] = jobs_.try_emplace(uid);
     auto& job = it->second;
     if (unknown) job.spec.uid = uid;
-    if (unknown) job.spec_known = false;
+    if (unknown) job.spec_known = job.need_known = false;
+    if (record && !job.need_known) job.need_known = read_need(*record, job.spec);
     if (!job.ended) job.ended_at = now;
     const bool news = !job.ended;
     job.ended = job.final = true;
@@ -93,6 +102,21 @@
   }
 
  private:
+  /// Records of earlier builds do not say it.
+  static bool read_need(const wire::json& record, wire::JobSpec& spec) {
+    const auto team = record.is_object() ? record.find("team") : record.end();
+    const auto amount = [&](const char* field) {
+      const auto it = record.find(field);
+      return it != record.end() && it->is_number() ? std::optional(it->get<double>()) : std::nullopt;
+    };
+    if (team == record.end() || !team->is_string()) return false;
+    const auto cpus = amount("cpus"), accelerators = amount("accelerators");
+    if (!cpus || !accelerators || *cpus < 0 || *accelerators < 0) return false;
+    spec.team = team->get<std::string>();
+    spec.cpus = *cpus;
+    spec.accelerators = *accelerators;
+    return true;
+  }
   static bool read(const wire::json& record, OpenJob& job) try {
     std::string error;
     auto spec = wire::parse_submission(record.at("spec"), error);
--- a/src/jobs/book.hpp
+++ b/src/jobs/book.hpp
@@ -27,6 +27,8 @@
   /// `done` gets the final phase once it is written, or nullopt if it could not be decided.
   void cancel(const std::string& uid, std::function<void(std::optional<Phase>)> done);
 
+  /// The mirror shows that its open record is gone. Where the answer to our own write was lost, the end is read rather than waited for.
+  void on_record_gone(const std::string& uid);
   /// The job's end was written, by whomever. Nothing of it is handed out any more.
   void closed(const std::string& uid, Phase phase);
 
@@ -68,6 +70,10 @@
   void note_wait(const Job& job);
 
  private:
+  static constexpr net::Duration kAskAfter = std::chrono::seconds(3);      ///< whose delivery is not settled by then, its host is asked
+  static constexpr net::Duration kRefusedSame = std::chrono::seconds(5);   ///< a machine that had no room, until its next report
+  static constexpr net::Duration kFailedOn = std::chrono::seconds(30);     ///< a machine on which the job failed
+  static constexpr net::Duration kLimitSeen = std::chrono::seconds(2);     ///< a pull that the budget refused comes again after one
   Job* find(const std::string& uid);
   /// No task of it can be where we have not looked yet.
   bool gate_open(const Job& job) const;
@@ -76,6 +82,10 @@
   bool all_known_since(std::uint64_t generation, bool ordinary = false) const;
   void bind(Job& job, std::uint32_t index, const View& view, bool pulled, const std::vector<wire::TaskReport>& evict = {});
   void unbind(Job& job, std::uint32_t index, bool todo);
+  /// A task that nobody here remembers, of a job that is alive: it is taken over as it runs.
+  void adopt(Job& job, const wire::TaskReport& t, const View& view);
+  /// A task that is bound elsewhere, or differently, is shown here as well.
+  void on_second_sighting(Job& job, const wire::TaskReport& t, const View& view);
   std::optional<std::uint32_t> next_task(Job& job);
   /// The team's budget allows another task of it; if not, more is asked for and the refusal remembered.
   bool within_budget(Job& job);
--- a/src/jobs/budgets.cpp
+++ b/src/jobs/budgets.cpp
@@ -28,6 +28,10 @@
   return it != settings_.teams.end() && (it->second.cpus_max > 0 || it->second.accelerators_max > 0);
 }
 
+bool Budgets::any_limited() const {
+  return std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](const auto& t) { return limited(t.first); });
+}
+
 Room Budgets::limit(const std::string& team) const {
   const auto& t = settings_.teams.at(team);
   return {t.cpus_max > 0 ? t.cpus_max : kBoundless, 0, t.accelerators_max > 0 ? t.accelerators_max : kBoundless};
@@ -119,9 +123,11 @@
   for (const auto& [team, state] : m.at("teams").items()) {
     if (!limited(team)) continue;
     auto& granted = member.granted[team];
-    granted = from_json(state.at("held"));
+    // What we hold ourselves may have grown since that was said, by what we found running.
+    granted = from == membership_.self() ? local_[team].held : from_json(state.at("held"));
     if (!recovered_) continue;
     Room free = limit(team);
+    free -= leftovers_.of(team);
     for (const auto& [tag, other] : table_)
       if (auto it = other.granted.find(team); it != other.granted.end()) free -= it->second;
     const auto wanted = from_json(state.at("wanted"));
--- a/src/jobs/budgets.hpp
+++ b/src/jobs/budgets.hpp
@@ -2,7 +2,7 @@
 #include <map>
 
 #include "cluster/router.hpp"
-#include "machines/registry.hpp"
+#include "jobs/leftovers.hpp"
 
 namespace limemast::jobs {
 using machines::Room;
@@ -18,6 +18,8 @@
   bool may_use(const std::string& team, const Room& need, std::uint32_t waiting = 1);
   /// What waits here of all the team's jobs, as of now: asked for together, so that a thousand tasks take no hundred rounds.
   void expect(std::map<std::string, Room> waiting) { expected_ = std::move(waiting); }
+  /// What is on machines beside what owners count: not to be granted.
+  void set_leftovers(Leftovers leftovers) { leftovers_ = std::move(leftovers); }
   void use(const std::string& team, const Room& need);
   void release(const std::string& team, const Room& need);
 
@@ -28,6 +30,8 @@
   std::uint64_t lost_since() const { return lost_since_; }
   /// We lead, and grant nothing more until then.
   bool recovering() const { return membership_.leads() && !recovered_; }
+  /// Some team's use is limited: only then does anything of this matter.
+  bool any_limited() const;
 
  private:
   struct Local {
@@ -52,6 +56,7 @@
   cluster::Router& router_;
   std::map<std::string, Local> local_;
   std::map<std::string, Room> expected_;
+  Leftovers leftovers_;
   std::uint64_t seen_serial_ = 0;
   cluster::Tag seen_leader_;
   net::Time last_told_{};
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <deque>
 #include <functional>
+#include <set>
 #include <unordered_map>
 
 #include "jobs/progress.hpp"
@@ -41,6 +42,9 @@
   std::vector<bool> done;
   TaskSet recorded;              ///< done tasks that the state service knows of
   std::unordered_map<std::uint32_t, Binding> bound;
+  /// Machines whose reports show a task that is bound elsewhere under the same attempt. Each sighting may be the true one: the task is handed out
+  /// only when all are disproved.
+  std::map<std::uint32_t, std::set<std::string>> claims;
   std::deque<std::uint32_t> returned;
   std::uint64_t gang_attempt = 0;  ///< of the tasks of a gang that are handed out now
   std::uint32_t cursor = 0;      ///< tasks from here on were never handed out
@@ -56,6 +60,8 @@
   std::optional<std::pair<std::uint32_t, std::uint32_t>> told;  ///< tasks left and unfinished, as all were last told
   net::Time told_at{};
   bool held = false;             ///< hosts were told that nothing of it can be handed out now
+  net::Time moved{};             ///< when it was taken up, or a task of it was last handed out
+  net::Time reach_after{};       ///< machines with room are looked for again then
   net::Time stirred{};           ///< when its probes were last all sent, or one was pulled
   std::map<std::string, net::Time> failed_on;  ///< machines on which it failed lately
   net::Time not_before{};
--- a/src/jobs/prober.cpp
+++ b/src/jobs/prober.cpp
@@ -13,6 +13,11 @@
 constexpr auto kProbesLost = 30s;
 /// Queues that had no place for a probe have none a moment later either.
 constexpr auto kRedrawPause = 2s;
+/// For so long nothing of a job was handed out before it looks for room elsewhere, and then how often.
+constexpr auto kUnmoved = 5s;
+constexpr auto kReachAgain = 2s;
+/// And for so long before it goes beside long tasks, and to what is kept free for services to come, as well: no job may wait 90 s where there is room.
+constexpr auto kAnywhere = 60s;
 }  // namespace
 
 void Prober::top_up(Job& job) {
@@ -51,6 +56,17 @@
   return count;
 }
 
+void Prober::reach_out(Job& job) {
+  const auto now = runtime_.now();
+  if (job.probes.empty() || job.todo() == 0 || now - job.moved < kUnmoved || now < job.reach_after) return;
+  job.reach_after = now + kReachAgain;
+  const bool anywhere = now - job.moved >= kAnywhere;
+  auto from = candidates_.with_room(job.open.spec, now);
+  const auto& shunned = registry_.long_map().shunned;
+  std::erase_if(from, [&](names::Number n) { return job.probes.contains(n) || !candidates_.open(n) || (!anywhere && shunned.contains(n)); });
+  if (!from.empty()) send(job, sched::draw(std::move(from), job.todo(), runtime_.random()), anywhere ? machines::kLastResort : 1);
+}
+
 void Prober::renew_if_lost(Job& job) {
   const auto now = runtime_.now();
   if (job.probes.empty() || now - job.stirred <= kProbesLost) return;
--- a/src/jobs/prober.hpp
+++ b/src/jobs/prober.hpp
@@ -15,6 +15,9 @@
   void top_up(Job& job);
   /// Tells the hosts of its probes once more, if none was pulled for so long that they may be lost: what hosts have already they keep.
   void renew_if_lost(Job& job);
+  /// Probes wait at machines that were there when they were drawn. Where none of the job's tasks was handed out for a while, the machines that show
+  /// room are probed as well: those that came later, or have become free.
+  void reach_out(Job& job);
   /// A host has refused some, for long tasks or otherwise; `job` is null if it is not ours any more.
   void on_rejected(Job* job, const wire::json& message);
 
--- a/src/machines/candidates.hpp
+++ b/src/machines/candidates.hpp
@@ -16,6 +16,8 @@
   };
   /// Those that took work when last gone through, at the most `kKept` ago.
   const List& of(const wire::JobSpec& spec, net::Time now);
+  /// Of those, the ones that had room for a task when last gone through, at the most `kRoomKept` ago.
+  const std::vector<names::Number>& with_room(const wire::JobSpec& spec, net::Time now);
   /// Takes work now, as far as is known here; a list may be a moment old.
   bool open(names::Number machine) const {
     const auto* view = registry_.at(machine);
@@ -35,9 +37,13 @@
     List list;
     std::uint64_t openings = 0;
     net::Time at{};
+    std::vector<names::Number> with_room;
+    net::Time room_at{};
   };
   static constexpr std::size_t kKinds = 256;  ///< remembered at once; more are gone through anew
   static constexpr auto kKept = std::chrono::milliseconds(250);
+  static constexpr auto kRoomKept = std::chrono::seconds(1);
+  Kept& kept(const wire::JobSpec& spec, net::Time now);
   const Registry& registry_;
   std::map<Kind, Kept> kinds_;
 };
--- a/src/machines/deliveries.cpp
+++ b/src/machines/deliveries.cpp
@@ -128,8 +128,7 @@
       return true;
     });
   }
-  if (std::any_of(h.outbox.begin(), h.outbox.end(), [&](const wire::Order& o) { return same(o) && o.verb == order->verb; })) return;
-  h.outbox.push_back(*order);
+  order_once(h, *order);
   if (order->verb == wire::Verb::Kill) flush_soon(machine);
 }
 
@@ -178,22 +177,21 @@
   auto& h = hosted(machine);
   const auto* view = registry_.find(machine);
   const auto now = runtime_.now();
-  // Only to a machine that was heard just now: one that hangs would carry the order out whenever it goes on.
-  const auto recent = net::to_duration(settings_.report * 1.25) + 1s;
-  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy || h.respond ||
-      now < h.direct_bad_until || now - view->heard > recent)
-    return;
+  if (!view || view->host != membership_.self() || !membership_.entitled() || !registry_.registered(machine) || h.direct_busy || h.respond || now < h.direct_bad_until) return;
   if (direct_calls_ >= kMaxDirect) return void(direct_waiting_.insert(machine));
   std::vector<wire::Order> orders(h.outbox.begin(), h.outbox.end());
   const auto mandate = mandate_for(h, *view);
+  // Runs only to a machine that was heard just now: one that hangs would carry them out whenever it goes on. Kills may come late, and reach one that
+  // can open no connections itself.
+  const bool recent = now - view->heard <= net::to_duration(settings_.report * 1.25) + 1s;
   for (auto& d : h.deliveries) {
-    if (d.path != Path::Queued || d.tenure != view->report.tenure) continue;
+    if (!recent || d.path != Path::Queued || d.tenure != view->report.tenure) continue;
     d.path = Path::Direct;
     d.mandate = mandate;
     d.answered = false;
     orders.push_back(d.order);
   }
-  const bool announce = std::exchange(h.announce, false) && view->report.mandate < cluster::mandate_base(membership_.generation().number);
+  const bool announce = recent && std::exchange(h.announce, false) && view->report.mandate < cluster::mandate_base(membership_.generation().number);
   if (orders.empty() && !announce) return;
   h.outbox.clear();
   h.direct_busy = true;
@@ -217,9 +215,11 @@
              return o.uid == d.order.uid && o.index == d.order.index && o.attempt == d.order.attempt;
            });
   };
-  const auto body = wire::json::parse(result.body, nullptr, false);
-  const auto report = body.is_object() ? wire::parse_report(body) : std::nullopt;
-  if (result.status == 200) {
+  const bool executed = result.status == 200;
+  // What ends a task goes with the answer to the machine's next report then.
+  for (const auto& o : sent)
+    if (!executed && o.verb == wire::Verb::Kill) order_once(h, o);
+  if (executed) {
     for (auto& d : h.deliveries)
       if (is_sent(d)) d.answered = true;
   } else if (result.status == 409 || (result.status == 0 && !result.maybe_sent) || result.status == 400) {
@@ -240,17 +240,33 @@
                    membership_.generation().number);
     }
   }
-  if (report && report->machine == machine && !registry_.gone(machine)) {
-    // The view stays with whoever hears the machine's reports; this body only shows what is on it.
-    const auto* view = registry_.find(machine);
-    if (view && view->host == membership_.self()) {
-      if (!view->report.repeats(*report)) tell_others(*report, false);
-      take_report(*report, membership_.self(), false);
-    }
-  }
+  take_answer(machine, result);
   if (ours(machine)) {
     pump(machine);
     if (!h.outbox.empty() || h.announce) flush_soon(machine);
   }
 }
+
+void Host::take_answer(const std::string& machine, const net::HttpResult& result) {
+  const auto body = wire::json::parse(result.body, nullptr, false);
+  const auto report = body.is_object() ? wire::parse_report(body) : std::nullopt;
+  const auto* view = registry_.find(machine);
+  // The view stays with whoever hears the machine's reports; this body only shows what is on it.
+  if (!report || report->machine != machine || registry_.gone(machine) || !view || view->host != membership_.self()) return;
+  if (!view->report.repeats(*report)) tell_others(*report, false);
+  take_report(*report, membership_.self(), false);
+}
+
+void Host::kill_behind(const std::string& machine, const wire::Order& run) {
+  const auto* view = registry_.find(machine);
+  const auto it = hosted_.find(machine);
+  if (!view || it == hosted_.end() || !membership_.entitled() || direct_calls_ >= kMaxDirect) return;  // its next report will do
+  ++direct_calls_;
+  auto body = wire::orders_body(mandate_for(it->second, *view), {{wire::Verb::Kill, run.uid, run.index, run.attempt, wire::Seconds(0)}});
+  body["tenure"] = view->report.tenure;
+  runtime_.http(view->report.address, {"POST", "/orders", body.dump()}, kDirectTimeout, [this, machine](net::HttpResult r) {
+    --direct_calls_;
+    take_answer(machine, r);
+  });
+}
 }  // namespace limemast::machines
--- a/src/machines/host.cpp
+++ b/src/machines/host.cpp
@@ -84,7 +84,9 @@
   h.respond = std::move(respond);
   h.answering_tick = report.tick;
   const auto serial = ++h.answer_serial;
-  if (!registry_.registered(report.machine)) register_soon(report.machine);
+  // One that has been commanded before, or answered at least, and that nobody here has heard, may be known from an old report alone, of a machine that
+  // was given back: written down it would be waited for. Its next report shows that it lives.
+  if (!registry_.registered(report.machine) && (view || report.mandate == 0)) register_soon(report.machine);
   h.heard_lately = true;
   // Most reports repeat the one before: the others need no more than to hear that it still holds.
   if (moved || !h.told_hello || !view->report.repeats(report)) tell_others(report, true);
@@ -246,16 +248,24 @@
     if (!job) look_into(t.uid);
     if (!job || !job->ended) continue;
     if (!t.exited()) {
-      h.outbox.push_back({wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
+      order_once(h, {wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
     } else if (view.report.mandate >= h.clean_from &&
                std::none_of(h.deliveries.begin(), h.deliveries.end(), [&](const Delivery& d) {
                  return d.order.uid == t.uid && d.order.index == t.index && d.order.attempt == t.attempt;
                })) {
-      h.outbox.push_back({wire::Verb::Clear, t.uid, t.index, t.attempt, wire::Seconds(0)});
+      order_once(h, {wire::Verb::Clear, t.uid, t.index, t.attempt, wire::Seconds(0)});
     }
   }
 }
 
+void Host::order_once(Hosted& h, const wire::Order& order) {
+  const auto it = std::find_if(h.outbox.begin(), h.outbox.end(), [&](const wire::Order& o) {
+    return o.verb == order.verb && o.uid == order.uid && o.index == order.index && o.attempt == order.attempt;
+  });
+  if (it == h.outbox.end()) return h.outbox.push_back(order);
+  it->wind_down = std::min(it->wind_down, order.wind_down);
+}
+
 void Host::look_into(const std::string& uid) {
   // A job's record is written before its first task starts. If we do not know it, either we lag behind, or it ended
   // before we joined: then no controller that remembers it may be left to end its tasks.
@@ -263,8 +273,15 @@
   auto [asked, fresh] = looked_into_.try_emplace(uid, now);
   if (!fresh && now - asked->second < kLookAgain) return;
   asked->second = now;
-  client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid](store::GetResult g) {
-    if (g.answered && !g.found && !jobs_.find(uid)) jobs_.end_for_good(uid, runtime_.now());
+  client_.get(store::Priority::User, cluster::keys::final_job(uid), [this, uid](store::GetResult end) {
+    if (!end.answered) return;
+    auto ended = [this, uid](const json* record) {
+      if (jobs_.end_for_good(uid, runtime_.now(), record)) on_job_ended(uid);
+    };
+    if (end.found) return ended(&end.value);
+    client_.get(store::Priority::User, cluster::keys::open_job(uid), [this, uid, ended](store::GetResult open) {
+      if (open.answered && !open.found && !jobs_.find(uid)) ended(nullptr);
+    });
   });
 }
 
@@ -334,13 +351,18 @@
       tell_settled(machine, d, false);
       return true;
     });
-  if (!registry_.on_machines(uid)) return;  // nothing is left to end
+  const bool shown = registry_.on_machines(uid);
   for (auto& [machine, h] : hosted_) {
     const auto* view = registry_.find(machine);
     if (!view || view->host != membership_.self()) continue;
     const auto before = h.outbox.size();
+    for (const auto& d : h.deliveries) {
+      if (d.order.uid != uid) continue;
+      if (d.path == Path::Direct && !d.answered) kill_behind(machine, d.order);
+      else order_once(h, {wire::Verb::Kill, uid, d.order.index, d.order.attempt, wire::Seconds(0)});
+    }
     for (const auto& t : view->report.tasks)
-      if (t.uid == uid && !t.exited()) h.outbox.push_back({wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
+      if (shown && t.uid == uid && !t.exited()) order_once(h, {wire::Verb::Kill, t.uid, t.index, t.attempt, wire::Seconds(0)});
     if (h.outbox.size() != before) flush_soon(machine);
   }
 }
--- a/src/machines/host.hpp
+++ b/src/machines/host.hpp
@@ -74,6 +74,13 @@
   void settle(const std::string& machine, bool hello);
   void tell_settled(const std::string& machine, const Delivery& d, bool present);
   void stray_tasks(Hosted& h, const View& view);
+  /// Puts a kill or clear into the line to the machine, once: reports repeat what they show until it is gone.
+  static void order_once(Hosted& h, const wire::Order& order);
+  /// A `run` of a job that has ended is under way straight to its machine, which may hang: it would be started whenever the machine goes on. The
+  /// kill follows on the same path at once, whatever else is under way. A late kill harms nothing.
+  void kill_behind(const std::string& machine, const wire::Order& run);
+  /// The report in a direct command's answer.
+  void take_answer(const std::string& machine, const net::HttpResult& result);
   void look_into(const std::string& uid);
   void answer(const std::string& machine);
   double load();
@@ -124,6 +131,7 @@
   std::unordered_map<std::string, Hosted> hosted_;
   std::set<std::string> to_register_;
   bool registering_ = false;
+  std::map<std::string, net::Time> enrolling_;  ///< machines whose record is being written, and until when that is believed
   bool register_armed_ = false;
   std::uint64_t next_record_ = 1;
   std::uint64_t sent_home_ = 0;
--- a/src/machines/registry.hpp
+++ b/src/machines/registry.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -126,6 +127,11 @@
   std::uint32_t running(const std::string& uid) const;
   /// Some report shows a task of this job that has not exited.
   bool on_machines(const std::string& uid) const { return counts_.contains(uid); }
+  /// Each job of which that is so.
+  template <class Look>
+  bool any_on_machines(Look look) const {
+    return std::any_of(counts_.begin(), counts_.end(), [&](const auto& c) { return look(c.first); });
+  }
 
   void set_types(std::vector<wire::MachineType> types);
   const wire::MachineType* type(const std::string& name) const;
--- a/tests/meetings/cancel_test.cpp
+++ b/tests/meetings/cancel_test.cpp
@@ -1,5 +1,5 @@
 // What was confirmed to a user as cancelled is gone within cancel_s: by word of mouth at once, and without any message by time alone.
-#include "meetings/meeting.hpp"
+#include "meetings/troubles.hpp"
 
 namespace limemast {
 namespace {
@@ -11,12 +11,6 @@
     cluster_.run(16s);
     return jobs;
   }
-  void cancel(const std::vector<std::string>& jobs) {
-    for (const auto& uid : jobs) cluster_.cancel(uid);
-  }
-  std::size_t cancelled(const std::vector<std::string>& jobs) const {
-    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&](const auto& uid) { return cluster_.told(uid) == "cancelled"; }));
-  }
   Duration longest() { return cluster_.rules().longest_after_cancel(); }
   Duration allowed() const { return net::to_duration(settings().cancel); }
 };
@@ -93,40 +87,7 @@
 
 // ---- any two or three of them ----
 
-class Pairs : public Meeting {
- protected:
-  void trouble(std::size_t kind) {
-    const auto node = world_.below(3) == 0 ? world_.below(3) : leader();
-    const auto time = seconds(s(3, 30));
-    switch (kind) {
-      case 0: return cluster_.late_writes(s(0.1, 0.6), time);
-      case 1: return cluster_.late_reports(s(0.1, 0.6), time);
-      case 2: {
-        const auto share = s(0.1, 0.5);
-        return cluster_.deafen_machines([&](const auto&, const auto&) { return world_.chance(share); }, time);
-      }
-      case 3: return cluster_.deafen_machines([zone = settings().zones[world_.below(3)]](const auto&, const auto& z) { return z == zone; }, time);
-      case 4: {
-        const bool hold = world_.chance(0.5);
-        for (auto side : {Side::State, Side::Peers}) cluster_.cut(node, side, hold, time);
-        return;
-      }
-      case 5: return cluster_.refuse(node, time);
-      case 6: return cluster_.state_outage(seconds(s(10, 45)));
-      case 7: return cluster_.state_slow(seconds(s(0.3, 4)), time);
-      case 8: return cluster_.crash(node, seconds(s(0.1, 12)));
-      case 9: return cluster_.freeze(node, time);
-      case 10: return cluster_.crash(node, seconds(s(0.01, 0.05)));
-      case 11: return cluster_.cut_zone(settings().zones[world_.below(3)], time);
-      case 12: return cluster_.stall_watches(node, time);
-      case 13:
-        for (std::size_t i = 0; i < 3; ++i) cluster_.crash(i, seconds(s(0.01, 5)));
-        return;
-      case 14: return cluster_.cut(node, Side::Workers, world_.chance(0.5), time);
-      default: return cluster_.hang(time);
-    }
-  }
-};
+class Pairs : public Troubles {};
 
 // Two or three troubles whose times overlap, around cancellations and the last tasks of jobs. When they are over everything goes on.
 TEST_P(Pairs, BreakNoRule) {
@@ -139,7 +100,7 @@
     const auto many = 2 + world_.below(2);
     std::size_t at = world_.below(doomed.size());
     for (std::size_t i = 0; i < many; ++i) {
-      trouble(world_.below(16));
+      trouble(world_.below(kFirstTroubles), doomed);
       cluster_.run(seconds(s(0, 6)));
       for (std::size_t k = 0; k < 2; ++k) cluster_.cancel(doomed[at++ % doomed.size()]);
       cluster_.run(seconds(s(0, 3)));
@@ -153,9 +114,7 @@
   EXPECT_LT(until(600s, [&] { return cluster_.unfinished().empty(); }), 600s) << "seed " << GetParam() << ", first left " << (cluster_.unfinished().empty() ? "" : cluster_.unfinished().front());
   EXPECT_EQ(cluster_.up_controllers(), 3u);
 }
-/// Sixteen seeds; with MEETING_SEEDS in the environment as many as it says, by hand.
-std::uint64_t pairs() { return std::getenv("MEETING_SEEDS") ? std::stoull(std::getenv("MEETING_SEEDS")) : 16; }
-INSTANTIATE_TEST_SUITE_P(Seeds, Pairs, testing::Range<std::uint64_t>(1, pairs() + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, Pairs, testing::Range<std::uint64_t>(1, searched() + 1));
 // Seeds that once failed. Run twice, as what machines showed to an owner that was not entitled just then was lost on it: 30, 61, 158. A task bound for
 // ever: 178, 207, 254, 297.
 INSTANTIATE_TEST_SUITE_P(Found, Pairs, testing::Values<std::uint64_t>(30, 61, 158, 178, 207, 254, 297));
--- a/tests/meetings/meeting.hpp
+++ b/tests/meetings/meeting.hpp
@@ -17,6 +17,7 @@
 /// after every step: by what machines hold and what users were told.
 class Meeting : public testing::TestWithParam<std::uint64_t> {
  protected:
+  explicit Meeting(wire::Settings s = settings(), Cluster::Options options = {.per_pool = 4, .scripted = true}) : settings_(std::move(s)), cluster_(world_, settings_, options) {}
   static wire::Settings settings() {
     auto s = settings_for_tests();
     s.teams = {{"red", {400, 600, 0, 0}}, {"blue", {}}};
@@ -55,9 +56,16 @@
     return std::all_of(uids.begin(), uids.end(), [&](const auto& uid) { return cluster_.told(uid) == "done"; });
   }
   std::size_t leader() const { return cluster_.leader(); }
+  void cancel(const std::vector<std::string>& jobs) {
+    for (const auto& uid : jobs) cluster_.cancel(uid);
+  }
+  std::size_t cancelled(const std::vector<std::string>& jobs) const {
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&](const auto& uid) { return cluster_.told(uid) == "cancelled"; }));
+  }
   double s(double low, double high) { return world_.uniform(low, high); }
 
   World world_{GetParam()};
-  Cluster cluster_{world_, settings(), {.per_pool = 4, .scripted = true}};
+  wire::Settings settings_;
+  Cluster cluster_;
 };
 }  // namespace limemast
--- a/tests/meetings/meetings_test.cpp
+++ b/tests/meetings/meetings_test.cpp
@@ -57,7 +57,7 @@
   cluster_.run(60s);
   ASSERT_EQ(running(cluster_, jobs), 32u);
   std::size_t n = 0;
-  cluster_.deafen_machines([&](const auto&, const auto&) { return ++n % 6 == 0; }, 90s);
+  cluster_.deafen_machines([&](const auto&, const auto&) { return ++n % 6 == 0; }, 200s);
   cluster_.run(1s);
   cluster_.crash(leader(), seconds(s(0.1, 5)));
   cluster_.hang(seconds(s(4, 20)));
--- a/tests/operate/causes_test.cpp
+++ b/tests/operate/causes_test.cpp
@@ -6,7 +6,7 @@
 using namespace standins;
 
 /// Where machines come up decides whether a scene can be set at all (a spare one in the zone that is drained); by these seeds they do.
-constexpr std::uint64_t kSeed = 30;
+constexpr std::uint64_t kSeed = 21;
 constexpr std::uint64_t kDrainSeed = 26;
 
 class Causes : public OperatedCluster {
--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -328,7 +328,9 @@
     spec_.cpus = 4;
     spec_.spread = true;
     rules_.submitted(spec_);
-    rules_.accepted(spec_.uid);
+    auto other = spec_;
+    other.uid = "wk-000003";
+    rules_.submitted(other);
   }
   bool broke(const std::string& rule) const { return rules_.broken().contains(rule); }
   void TearDown() override { EXPECT_EQ(rules_.broken().size(), 1u) << broken(rules_); }
@@ -336,6 +338,7 @@
   World world_{1};
   wire::Settings settings_ = settings_for_tests();
   Rules rules_{world_, settings_};
+  Rules::Known accepted_{true, {}};  ///< what a user knows that was told of the acceptance
   wire::JobSpec spec_;
 };
 
@@ -370,7 +373,7 @@
 TEST_F(PlantedViolation, RanCancelled) {
   rules_.started("wk-000001/0", "m1", "small", "a", false);
   rules_.asked_to_cancel("wk-000001");
-  rules_.told("wk-000001", 200, "cancelled");
+  rules_.told("wk-000001", {}, 200, "cancelled");
   world_.step(World::start() + net::to_duration(settings_.cancel));
   rules_.check_time();
   EXPECT_TRUE(rules_.broken().empty());
@@ -379,34 +382,78 @@
   EXPECT_TRUE(broke("ran_cancelled"));
 }
 TEST_F(PlantedViolation, Forgotten) {
-  rules_.told("wk-000001", 404, "");
+  rules_.told("wk-000001", accepted_, 404, "");
   EXPECT_TRUE(broke("forgotten"));
 }
 TEST_F(PlantedViolation, ForgottenOnRepeat) {
-  rules_.resubmitted("wk-000001", 422);
+  rules_.submission_told("wk-000001", accepted_, 422, "");
   EXPECT_TRUE(broke("forgotten"));
 }
 TEST_F(PlantedViolation, Invented) {
-  rules_.told("wk-000077", 404, "");
+  rules_.told("wk-000077", {}, 404, "");
   EXPECT_TRUE(rules_.broken().empty());
-  rules_.told("wk-000077", 200, "pending");
+  rules_.told("wk-000077", {}, 200, "pending");
   EXPECT_TRUE(broke("invented"));
 }
 TEST_F(PlantedViolation, NotDone) {
   rules_.completed("wk-000001", 0);
-  rules_.told("wk-000001", 200, "done");
+  rules_.told("wk-000001", {}, 200, "done");
   EXPECT_TRUE(broke("not_done"));
 }
 TEST_F(PlantedViolation, WentBack) {
   rules_.completed("wk-000001", 0);
   rules_.completed("wk-000001", 1);
-  rules_.told("wk-000001", 200, "done");
+  rules_.told("wk-000001", {}, 200, "done");
   EXPECT_TRUE(rules_.broken().empty());
-  rules_.told("wk-000001", 200, "running");
+  rules_.told("wk-000001", rules_.known("wk-000001"), 200, "running");
   EXPECT_TRUE(broke("went_back"));
 }
+// Asked before the end was told: it may have been overtaken on the network. Asked afterwards, at whatever node: an older answer.
+TEST_F(PlantedViolation, OnlyWhatWasAskedAfterwardsIsOlder) {
+  rules_.completed("wk-000001", 0);
+  rules_.completed("wk-000001", 1);
+  const auto before = rules_.known("wk-000001");
+  rules_.told("wk-000001", before, 200, "done");
+  rules_.told("wk-000001", before, 200, "running");
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.told("wk-000001", rules_.known("wk-000001"), 200, "pending");
+  EXPECT_TRUE(broke("went_back"));
+}
+TEST_F(PlantedViolation, TwoEnds) {
+  rules_.completed("wk-000001", 0);
+  rules_.completed("wk-000001", 1);
+  rules_.asked_to_cancel("wk-000001");
+  rules_.told("wk-000001", {}, 200, "cancelled");
+  rules_.told("wk-000001", {}, 200, "done");
+  EXPECT_TRUE(broke("went_back"));
+}
+TEST_F(PlantedViolation, KnownByAQuestionAlone) {
+  rules_.told("wk-000003", {}, 200, "pending");
+  rules_.told("wk-000003", rules_.known("wk-000003"), 404, "");
+  EXPECT_TRUE(broke("forgotten"));
+}
+TEST_F(PlantedViolation, AcceptedAnew) {
+  rules_.submission_told("wk-000003", {}, 201, "pending");
+  EXPECT_TRUE(rules_.broken().empty());
+  rules_.submission_told("wk-000003", rules_.known("wk-000003"), 201, "pending");
+  EXPECT_TRUE(broke("went_back"));
+}
+/// What is counted, and breaks no rule by itself.
+class Counted : public PlantedViolation {
+ protected:
+  void TearDown() override { EXPECT_EQ(broken(rules_), ""); }
+};
+TEST_F(Counted, StartedAfterCancel) {
+  rules_.asked_to_cancel("wk-000001");
+  rules_.told("wk-000001", {}, 200, "cancelled");
+  rules_.started("wk-000001/0", "m1", "small", "a", false);
+  EXPECT_EQ(rules_.started_after_cancel(), 0u);  // on its way
+  world_.step(World::start() + 1s);
+  rules_.started("wk-000001/1", "m2", "small", "b", false);
+  EXPECT_EQ(rules_.started_after_cancel(), 1u);
+}
 TEST_F(PlantedViolation, CancelledUnasked) {
-  rules_.told("wk-000001", 200, "cancelled");
+  rules_.told("wk-000001", {}, 200, "cancelled");
   EXPECT_TRUE(broke("went_back"));
 }
 }  // namespace
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -160,11 +160,19 @@
 
 void Cluster::to_state(std::size_t node, const net::HttpRequest& request, const StateService::Answer& answer) {
   if (nodes_[node].refused > 0) return answer({503, true, "{}"});
+  if (request.path == "/txn" && answers_lost_ > 0 && world_.chance(answers_lost_)) {
+    state_.handle(request, [](net::HttpResult) {});
+    return look_at_leader();
+  }
   if (request.path == "/txn" && writes_late_ > 0 && world_.chance(writes_late_)) {
     world_.at(seconds(world_.uniform(2, 12)), [this, request] { state_.handle(request, [](net::HttpResult) {}); });
     return;
   }
-  if (!request.path.starts_with("/changes")) return state_.handle(request, answer);
+  if (!request.path.starts_with("/changes")) {
+    state_.handle(request, answer);
+    if (request.path == "/txn") look_at_leader();
+    return;
+  }
   state_.handle(request, [this, node, answer, start = nodes_[node].start](net::HttpResult r) {
     auto& n = nodes_[node];
     if (n.start == start && (n.refused > 0 || n.stalled > 0)) return n.unread_watches.push_back([answer, r] { answer(r); });
@@ -188,9 +196,45 @@
   world_.at(time, [this, node] { --nodes_[node].stalled, release_watches(node); });
 }
 
-void Cluster::late_writes(double share, Duration time) {
-  writes_late_ = share;
-  world_.at(time, [this] { writes_late_ = 0; });
+void Cluster::late_writes(double share, Duration time, bool at_once) {
+  auto& which = at_once ? answers_lost_ : writes_late_;
+  which = share;
+  world_.at(time, [&which] { which = 0; });
+}
+
+void Cluster::reports_for_next(double share, Duration time) {
+  kept_for_next_ = share;
+  world_.at(time, [this] { kept_for_next_ = 0, for_next_.clear(); });
+}
+
+/// A new leader begins: the copies that were kept for it reach every controller within a second or two.
+void Cluster::look_at_leader() {
+  const auto* generation = state_.value(cluster::keys::kGeneration);
+  const auto led_by = generation && generation->is_object() ? generation->value("leader", json()) : json();
+  if (led_by == led_by_) return;
+  led_by_ = led_by;
+  for (const auto& [machine, copy] : std::exchange(for_next_, {}))
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+      world_.at(seconds(world_.uniform(0, 2)), [this, copy = copy, i] { to_controller(i, Side::Workers, copy.request, 4s, [](net::HttpResult) {}, copy.zone); });
+}
+
+void Cluster::mute_machines(const std::function<bool(const std::string&, const std::string&)>& which, Duration time) {
+  for (auto& [name, w] : workers_) {
+    if (!w.up || !which(name, w.zone)) continue;
+    ++w.mute;
+    world_.at(time, [this, name = name] { --workers_.at(name).mute; });
+  }
+}
+
+void Cluster::close_looks(Duration time, double cancel_at_once) {
+  ++looking_closely_;
+  cancel_at_once_ = cancel_at_once;
+  world_.at(time, [this] { --looking_closely_; });
+}
+
+void Cluster::cancel_at_end(double share, Duration time) {
+  cancel_at_end_ = share;
+  world_.at(time, [this] { cancel_at_end_ = 0; });
 }
 
 void Cluster::late_reports(double share, Duration time) {
@@ -214,10 +258,67 @@
   return out;
 }
 
+std::set<std::string> Cluster::given_back() const {
+  std::set<std::string> out;
+  for (const auto& [name, w] : workers_)
+    if (w.gone) out.insert(name);
+  return out;
+}
+
+std::set<std::string> Cluster::all_machines() const {
+  std::set<std::string> out;
+  for (const auto& [name, w] : workers_)
+    if (w.up) out.insert(name);
+  return out;
+}
+
+std::set<std::string> Cluster::written_down() const {
+  std::set<std::string> out;
+  state_.each([&](const std::string& key, const json& value) {
+    if (key.starts_with(cluster::keys::kMachines))
+      for (const auto& [name, spot] : value.items()) out.insert(name);
+  });
+  return out;
+}
+
+void Cluster::watch_waits() {
+  longest_wait_ = {};
+  waiting_since_.clear();
+  if (!std::exchange(watching_waits_, true)) look_at_waits();
+}
+
+bool Cluster::has_room_for(const wire::JobSpec& s) const {
+  const double most = settings_.teams.at(s.team).cpus_max;
+  if (most > 0 && rules_.used(s.team) + s.cpus > most + 1e-6) return false;
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const auto& w = entry.second;
+    return w.up && !w.hung && !w.notice && !w.sick && w.deaf == 0 && w.mute == 0 && s.allows_type(w.type) && (!s.zone || *s.zone == w.zone) && (s.spot || !w.spot) &&
+           free_cpus(w) + 1e-6 >= s.cpus;
+  });
+}
+
+void Cluster::look_at_waits() {
+  std::map<std::string, std::uint32_t> there;
+  for (const auto& [name, w] : workers_)
+    for (const auto& t : w.tasks) there[t.uid] += t.phase != wire::TaskPhase::Exited;
+  for (const auto& [uid, job] : jobs_) {
+    const auto known = rules_.known(uid);
+    const auto& s = job.spec;
+    const bool waits = known.accepted && known.final.empty() && !job.always_fails && job.cancel_asked == Time{} && !s.spread && !s.one_zone && !s.gang &&
+                       rules_.completed(uid) + there[uid] < s.tasks && has_room_for(s);
+    if (!waits) {
+      waiting_since_.erase(uid);
+      continue;
+    }
+    longest_wait_ = std::max(longest_wait_, world_.now() - waiting_since_.try_emplace(uid, world_.now()).first->second);
+  }
+  world_.at(1s, [this] { look_at_waits(); });
+}
+
 Duration Cluster::longest_unanswered() const {
   Duration out{};
   for (const auto& [uid, job] : jobs_)
-    if (job.accepted && job.final.empty()) out = std::max(out, world_.now() - job.last_answer);
+    if (const auto known = rules_.known(uid); known.accepted && known.final.empty()) out = std::max(out, world_.now() - job.last_answer);
   return out;
 }
 
@@ -480,7 +581,7 @@
       w.address = w.name + ":9000";
       w.rented = world_.now();
       hosts.push_back(w.name);
-      if (!world_.chance(0.03)) world_.at(seconds(world_.uniform(1, 12)), [this, name = w.name] { boot(name); });  // else it never comes up
+      if (!world_.chance(options_.never_up)) world_.at(seconds(world_.uniform(options_.boot_least_s, options_.boot_most_s)), [this, name = w.name] { boot(name); });
     }
     if (hosts.empty()) return answer({503, true, R"({"error":"no capacity"})"});
     hires_[name] = {{"hosts", hosts}};
@@ -556,6 +657,7 @@
 void Cluster::report(const std::string& name) {
   when_awake(name, [this, name](Worker& w) {
     if (w.in_flight != 0) return;
+    if (w.mute > 0) return unheard(w);  // no connection
     const auto flight = w.in_flight = next_serial_++;
     const auto sent = world_.now();
     const auto tenure = w.tenure;
@@ -564,6 +666,7 @@
       const auto later = seconds(world_.uniform(2, 1.6 * settings_.lease.count()));
       world_.at(later, [this, request, to = world_.below(nodes_.size()), zone = w.zone] { to_controller(to, Side::Workers, request, 4s, [](net::HttpResult) {}, zone); });
     }
+    if (kept_for_next_ > 0 && world_.chance(kept_for_next_)) for_next_.try_emplace(name, Copy{request, w.zone});
     to_controller(w.home, Side::Workers, request, 4s, [=, this](net::HttpResult r) {
       when_awake(name, [=, this](Worker& w) {
         if (w.in_flight != flight) return;
@@ -628,8 +731,10 @@
   if (t.phase == wire::TaskPhase::Running || t.phase == wire::TaskPhase::Saving) rules_.ended(wire::task_name(t.uid, t.index), w.name);
   t.phase = wire::TaskPhase::Exited;
   t.cause = cause;
-  if (cause == wire::Cause::Done) rules_.completed(t.uid, t.index);
   report_soon(w);
+  if (cause != wire::Cause::Done) return;
+  rules_.completed(t.uid, t.index);
+  if (cancel_at_end_ > 0 && rules_.all_completed(t.uid) && world_.chance(cancel_at_end_)) cancel(t.uid);
 }
 
 void Cluster::image_ready(const std::string& name, std::uint64_t serial) {
@@ -684,7 +789,9 @@
     if (o.verb == wire::Verb::Clear) {
       if (it != w.tasks.end() && it->phase == wire::TaskPhase::Exited) w.tasks.erase(it);
     } else if (o.verb == wire::Verb::Kill) {
-      if (it != w.tasks.end() && it->phase != wire::TaskPhase::Exited) end_task(w, *it, wire::Cause::Halted);
+      if (it == w.tasks.end() || it->phase == wire::TaskPhase::Exited) continue;
+      ++halted_;
+      end_task(w, *it, wire::Cause::Halted);
     } else if (it == w.tasks.end()) {
       rules_.ordered(o.uid);
       Task t;
@@ -731,7 +838,15 @@
   for (const auto& [name, w] : workers_)
     if (w.up && !w.hung) up.push_back(name);
   if (up.empty()) return;
-  const auto name = up[world_.below(up.size())];
+  hang_one(up[world_.below(up.size())], time);
+}
+
+void Cluster::hang_machines(const std::set<std::string>& names, Duration time) {
+  for (const auto& name : names)
+    if (auto it = workers_.find(name); it != workers_.end() && it->second.up && !it->second.hung) hang_one(name, time);
+}
+
+void Cluster::hang_one(const std::string& name, Duration time) {
   workers_.at(name).hung = true;
   rules_.hanging(name, true);
   world_.at(time, [this, name] {
@@ -843,69 +958,107 @@
   // Services and jobs that always fail run until they are cancelled.
   if (cancelled || (spec.service && !options_.scripted) || job.always_fails) world_.at(seconds(world_.uniform(1, spec.service ? 200 : 60)), [this, uid] { cancel(uid); });
   // Nobody submitted this one.
-  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/wk-9" + uid.substr(4), {}}, 2s,
-                [this, uid](net::HttpResult r) { rules_.told("wk-9" + uid.substr(4), r.status, ""); });
+  const auto none = "wk-9" + uid.substr(4);
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/" + none, {}}, 2s,
+                [this, none](net::HttpResult r) { rules_.told(none, {}, r.status, ""); });
+}
+
+namespace {
+std::string phase_in(const net::HttpResult& r) {
+  const auto body = json::parse(r.body, nullptr, false);
+  return body.is_object() ? body.value("phase", "") : "";
+}
+constexpr unsigned kCloseRounds = 4;
+constexpr double kCloseApart = 0.012;  ///< seconds within which a close look asks, each round
+}  // namespace
+
+void Cluster::learn(const std::string& uid, const Rules::Known& before) {
+  const auto now = rules_.known(uid);
+  if (before.accepted == now.accepted && before.final == now.final) return;
+  if (looking_closely_ == 0) return;
+  look_closely(uid);
+  if (!before.accepted && now.final.empty() && world_.chance(cancel_at_once_)) cancel(uid);
+}
+
+void Cluster::look_closely(const std::string& uid) {
+  for (unsigned round = 0; round < kCloseRounds; ++round)
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      const auto soon = [&] { return seconds(world_.uniform(0, kCloseApart) + kCloseApart * round * round); };
+      world_.at(soon(), [this, uid, i] { question(uid, i); });
+      if (round % 2 == 0) world_.at(soon(), [this, uid, i] { resubmit(uid, i); });
+    }
+}
+
+void Cluster::resubmit(const std::string& uid, std::size_t node) {
+  const auto then = rules_.known(uid);
+  to_controller(node, Side::Cloud, {"POST", "/submissions", wire::to_json(jobs_.at(uid).spec).dump()}, 5s, [this, uid, then](net::HttpResult r) {
+    const auto before = rules_.known(uid);
+    rules_.submission_told(uid, then, r.status, phase_in(r));
+    learn(uid, before);
+  });
 }
 
 void Cluster::try_submit(const std::string& uid) {
+  const auto then = rules_.known(uid);
   to_controller(world_.below(nodes_.size()), Side::Cloud, {"POST", "/submissions", wire::to_json(jobs_.at(uid).spec).dump()}, 5s,
-                [this, uid](net::HttpResult r) {
+                [this, uid, then](net::HttpResult r) {
                   auto& job = jobs_.at(uid);
-                  rules_.resubmitted(uid, r.status);
+                  const auto before = rules_.known(uid);
+                  rules_.submission_told(uid, then, r.status, phase_in(r));
+                  learn(uid, before);
                   if (r.status != 200 && r.status != 201) {
                     if (r.status != 400 && r.status != 422) world_.at(std::max(told_to_wait_, seconds(world_.uniform(1, 2))), [this, uid] { try_submit(uid); });
                     return;
                   }
-                  if (job.accepted) return;
-                  job.accepted = true;
-                  rules_.accepted(uid);
+                  if (std::exchange(job.polled, true)) return;
                   world_.at(seconds(world_.uniform(0.1, 3)), [this, uid] { poll(uid); });
                   if (world_.chance(0.3)) world_.at(seconds(world_.uniform(1, 40)), [this, uid] { try_submit(uid); });  // a late repeat
                 });
 }
 
 void Cluster::poll(const std::string& uid) {
-  const auto aborts = jobs_.at(uid).aborts_answered;
-  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/" + uid, {}}, 2s, [this, uid, aborts](net::HttpResult r) {
-    auto& job = jobs_.at(uid);
-    const auto body = json::parse(r.body, nullptr, false);
-    const auto phase = body.is_object() ? body.value("phase", "") : "";
-    // An abort answered meanwhile may have overtaken this answer on the network: that breaks no rule (seed 25).
-    if (aborts == job.aborts_answered) rules_.told(uid, r.status, phase);
-    if (r.status == 200) job.last_answer = world_.now();
-    if (r.status == 200) job.final = phase == "done" || phase == "cancelled" ? phase : job.final;
-    const auto again = job.final.empty() ? world_.uniform(2, 5) : world_.uniform(20, 60);
+  const auto then = rules_.known(uid);
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"GET", "/submissions/" + uid, {}}, 2s, [this, uid, then](net::HttpResult r) {
+    const auto before = rules_.known(uid);
+    rules_.told(uid, then, r.status, phase_in(r));
+    learn(uid, before);
+    if (r.status == 200) jobs_.at(uid).last_answer = world_.now();
+    const auto again = rules_.known(uid).final.empty() ? world_.uniform(2, 5) : world_.uniform(20, 60);
     world_.at(seconds(again), [this, uid] { poll(uid); });
   });
 }
 
 void Cluster::question(const std::string& uid, std::size_t node) {
-  const auto aborts = jobs_.at(uid).aborts_answered;
-  const auto was = jobs_.at(uid).final;
-  to_controller(node, Side::Cloud, {"GET", "/submissions/" + uid, {}}, 2s, [this, uid, aborts, was](net::HttpResult r) {
-    const auto body = json::parse(r.body, nullptr, false);
-    // What another answer told meanwhile may have overtaken this one.
-    if (aborts == jobs_.at(uid).aborts_answered && was == jobs_.at(uid).final) rules_.told(uid, r.status, body.is_object() ? body.value("phase", "") : "");
+  const auto then = rules_.known(uid);
+  to_controller(node, Side::Cloud, {"GET", "/submissions/" + uid, {}}, 2s, [this, uid, then](net::HttpResult r) {
+    const auto before = rules_.known(uid);
+    rules_.told(uid, then, r.status, phase_in(r));
+    learn(uid, before);
   });
 }
 
 void Cluster::cancel(const std::string& uid) {
-  if (!jobs_.at(uid).accepted) return void(world_.at(3s, [this, uid] { cancel(uid); }));
+  if (!rules_.known(uid).accepted) return void(world_.at(3s, [this, uid] { cancel(uid); }));
+  if (jobs_.at(uid).cancel_asked == Time{}) jobs_.at(uid).cancel_asked = world_.now();
   rules_.asked_to_cancel(uid);
-  to_controller(world_.below(nodes_.size()), Side::Cloud, {"POST", "/submissions/" + uid + "/abort", {}}, 5s, [this, uid](net::HttpResult r) {
-    const auto body = json::parse(r.body, nullptr, false);
-    const auto phase = body.is_object() ? body.value("phase", "") : "";
-    rules_.told(uid, r.status, phase);
-    if (r.status == 200) jobs_.at(uid).final = phase;
-    ++jobs_.at(uid).aborts_answered;
-    if (r.status != 200) world_.at(seconds(world_.uniform(1, 2)), [this, uid] { cancel(uid); });
+  try_cancel(uid);
+}
+
+void Cluster::try_cancel(const std::string& uid) {
+  const auto then = rules_.known(uid);
+  to_controller(world_.below(nodes_.size()), Side::Cloud, {"POST", "/submissions/" + uid + "/abort", {}}, 5s, [this, uid, then](net::HttpResult r) {
+    const auto before = rules_.known(uid);
+    rules_.told(uid, then, r.status, phase_in(r));
+    if (before.final.empty() && r.status == 200) longest_unconfirmed_ = std::max(longest_unconfirmed_, world_.now() - jobs_.at(uid).cancel_asked);
+    learn(uid, before);
+    if (r.status != 200) world_.at(seconds(world_.uniform(1, 2)), [this, uid] { try_cancel(uid); });
   });
 }
 
 std::vector<std::string> Cluster::unfinished() const {
   std::vector<std::string> out;
   for (const auto& [uid, job] : jobs_)
-    if (!job.spec.service && !job.always_fails && job.final.empty()) out.push_back(uid);
+    if (!job.spec.service && !job.always_fails && rules_.known(uid).final.empty()) out.push_back(uid);
   return out;
 }
 }  // namespace limemast::standins
--- a/tests/standins/cluster.hpp
+++ b/tests/standins/cluster.hpp
@@ -23,6 +23,8 @@
     /// A report because of a change takes the place of the next one by plan, as with real workers; else it comes in addition.
     bool one_plan = false;
     bool scripted = false;  ///< jobs neither fail nor are cancelled by chance
+    double boot_least_s = 1, boot_most_s = 12;  ///< from a machine's hire until it is up
+    double never_up = 0.03;                     ///< share of machines that never are
   };
   Cluster(World& world, wire::Settings settings, Options options);
   ~Cluster();
@@ -60,10 +62,23 @@
   void refuse(std::size_t node, Duration time);
   /// Answers to this controller's watches are held, all its other calls are answered.
   void stall_watches(std::size_t node, Duration time);
-  /// For a while that share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
-  void late_writes(double share, Duration time);
+  /// For a while that share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones. `at_once`: only the answer is
+  /// lost.
+  void late_writes(double share, Duration time, bool at_once = false);
   /// Of that share of the workers' reports a copy arrives again later, from 2 s to well over a lease, at any controller; its answer is lost.
   void late_reports(double share, Duration time);
+  /// Of that share of the workers' reports a copy is kept, the oldest of each machine since the last leader began, and reaches every controller when another one
+  /// leads.
+  void reports_for_next(double share, Duration time);
+  /// These machines reach no controller; direct commands reach them.
+  void mute_machines(const std::function<bool(const std::string& name, const std::string& zone)>& which, Duration time);
+  /// For a while users ask at all controllers, again and again within milliseconds, and repeat the submission, right after a job was accepted, ended
+  /// or confirmed as cancelled; that share of them cancels at once.
+  void close_looks(Duration time, double cancel_at_once = 0);
+  /// For a while that share of the jobs that end is called off at the moment of the end.
+  void cancel_at_end(double share, Duration time);
+  /// These machines stand still and go on later.
+  void hang_machines(const std::set<std::string>& names, Duration time);
   /// These machines are heard, and hear nothing: neither answers to their reports nor direct commands. Machines by `which`.
   void deafen_machines(const std::function<bool(const std::string& name, const std::string& zone)>& which, Duration time);
   void cloud_outage(Duration time);
@@ -82,14 +97,28 @@
   /// Tasks of each job that run on some machine now, whoever knows of it.
   std::map<std::string, std::uint32_t> running() const;
   std::size_t up_machines() const;
+  std::set<std::string> all_machines() const;
+  /// Machines that are no more, and those that the controllers have written down in the state service.
+  std::set<std::string> given_back() const;
+  std::set<std::string> written_down() const;
+  /// Tasks that were told to stop and did.
+  std::size_t halted() const { return halted_; }
   /// A user asks this controller about the job, once; the rules see the answer.
   void question(const std::string& uid, std::size_t node);
   /// Machines with a task of this job that has not exited.
   std::set<std::string> machines_with(const std::string& uid) const;
+  /// From now on the longest for which tasks of an accepted job waited while a machine that fits had room and its team was under its limit, without a
+  /// break. Jobs that are bound to one zone by their own tasks, or spread, are left out.
+  void watch_waits();
+  Duration longest_wait_with_room() const { return longest_wait_; }
   /// For how long a question about an accepted job that is not over has had no good answer, the longest of all.
   Duration longest_unanswered() const;
-  bool accepted(const std::string& uid) const { return jobs_.at(uid).accepted; }
-  std::string told(const std::string& uid) const { return jobs_.at(uid).final; }
+  bool accepted(const std::string& uid) const { return rules_.known(uid).accepted; }
+  std::string told(const std::string& uid) const { return rules_.known(uid).final; }
+  /// A user submits the job once more, at this controller.
+  void resubmit(const std::string& uid, std::size_t node);
+  /// How long each cancellation took from the first request to its confirmation, the longest of all.
+  Duration longest_unconfirmed() const { return longest_unconfirmed_; }
   /// Machines whose lease has ended at least once.
   std::size_t leases_lost() const;
   /// Machines that controllers have sent to another one, and reports that a controller gets now.
@@ -116,7 +145,7 @@
   struct Worker {
     std::string name, type, zone, address;
     bool spot = false, up = false, hung = false, sick = false, gone = false;
-    int deaf = 0;
+    int deaf = 0, mute = 0;
     std::uint64_t tenure = 1, tick = 0, mandate = 0, serial = 0, plan = 0;
     std::size_t home = 0;
     Time last_ok{};
@@ -153,10 +182,9 @@
     wire::JobSpec spec;
     double run_s = 0;
     bool always_fails = false;
-    bool accepted = false;
-    std::string final;
+    bool polled = false;    ///< its user polls it
     Time last_answer{};
-    unsigned aborts_answered = 0;
+    Time cancel_asked{};
   };
 
   void start(std::size_t node);
@@ -195,6 +223,12 @@
   void arrive();
   void try_submit(const std::string& uid);
   void poll(const std::string& uid);
+  void try_cancel(const std::string& uid);
+  /// An answer is taken in: what it newly says is looked at closely, if users do so now.
+  void learn(const std::string& uid, const Rules::Known& before);
+  void look_closely(const std::string& uid);
+  void look_at_leader();
+  void hang_one(const std::string& name, Duration time);
 
   World& world_;
   wire::Settings settings_;
@@ -207,7 +241,22 @@
   std::map<std::string, json> hires_;
   std::deque<json> snapshots_;
   Duration state_late_{};
-  double writes_late_ = 0, reports_late_ = 0;
+  double writes_late_ = 0, reports_late_ = 0, answers_lost_ = 0, kept_for_next_ = 0;
+  struct Copy {
+    net::HttpRequest request;
+    std::string zone;
+  };
+  std::map<std::string, Copy> for_next_;  ///< by machine
+  json led_by_;
+  int looking_closely_ = 0;
+  double cancel_at_once_ = 0, cancel_at_end_ = 0;
+  Duration longest_unconfirmed_{};
+  std::size_t halted_ = 0;
+  void look_at_waits();
+  bool has_room_for(const wire::JobSpec& spec) const;
+  bool watching_waits_ = false;
+  std::map<std::string, Time> waiting_since_;
+  Duration longest_wait_{};
   bool direct_lost_ = false;
   std::string cut_zone_;
   std::vector<std::function<void()>> at_border_;
--- a/tests/standins/rules.cpp
+++ b/tests/standins/rules.cpp
@@ -1,31 +1,50 @@
 #include "standins/rules.hpp"
 
 namespace limemast::standins {
-void Rules::told(const std::string& uid, int status, const std::string& phase) {
+namespace {
+constexpr auto kMoment = 250ms;  // what was on its way
+}  // namespace
+
+Rules::Known Rules::known(const std::string& uid) const {
+  const auto it = jobs_.find(uid);
+  return it == jobs_.end() ? Known{} : it->second.known;
+}
+
+void Rules::told(const std::string& uid, const Known& then, int status, const std::string& phase) {
   auto it = jobs_.find(uid);
   if (it == jobs_.end()) {
     if (status == 200) broke("invented", uid);
     return;
   }
   auto& job = it->second;
-  if (status == 404 && job.accepted) broke("forgotten", uid);
+  auto& final = job.known.final;
+  if (status == 404 && then.accepted) broke("forgotten", uid);
   if (status != 200) return;
-  if (!job.final.empty() && phase != job.final) broke("went_back", uid + " " + job.final + " -> " + phase);
-  if (phase == "done") {
-    if (job.completed.size() != job.spec.tasks || job.spec.service) broke("not_done", uid);
-    job.final = phase;
-  } else if (phase == "cancelled") {
+  job.known.accepted = true;
+  if (!then.final.empty() && phase != then.final) broke("went_back", uid + " " + then.final + " -> " + phase);
+  if (phase != "done" && phase != "cancelled") return;
+  // Two final answers never differ, whichever overtook the other.
+  if (!final.empty() && phase != final) broke("went_back", uid + " " + final + " and " + phase);
+  if (phase == "done" && (job.completed.size() != job.spec.tasks || job.spec.service)) broke("not_done", uid);
+  if (phase == "cancelled") {
     if (!job.cancel_asked) broke("went_back", uid + " was not cancelled");
-    if (job.final.empty()) {
+    if (final.empty()) {
       job.cancelled_at = world_.now();
       cancelled_.insert(uid);
     }
-    job.final = phase;
   }
+  final = phase;
+}
+
+void Rules::submission_told(const std::string& uid, const Known& then, int status, const std::string& phase) {
+  if (then.accepted && (status == 400 || status == 422)) broke("forgotten", uid + " repeated");
+  if (then.accepted && status == 201) broke("went_back", uid + " accepted anew");
+  if (status == 200 || status == 201) told(uid, then, 200, phase);
 }
 
-void Rules::resubmitted(const std::string& uid, int status) {
-  if (jobs_.at(uid).accepted && (status == 400 || status == 422)) broke("forgotten", uid + " repeated");
+double Rules::used(const std::string& team) const {
+  const auto it = used_.find(team);
+  return it == used_.end() ? 0 : it->second;
 }
 
 void Rules::started(const std::string& task, const std::string& machine, const std::string& type, const std::string& zone, bool spot) {
@@ -35,6 +54,7 @@
   auto& job = jobs_.at(uid);
   const auto& s = job.spec;
   ++starts_;
+  if (job.known.final == "cancelled" && world_.now() - job.cancelled_at > kMoment) ++started_after_cancel_;
   if (!job.on[index].empty() && !job.on[index].contains(machine)) broke("ran_twice", task + " on " + machine + " and " + job.on[index].begin()->first);
   if (!s.allows_type(type) || (s.zone && *s.zone != zone) || (spot && !s.spot)) broke("wrong_place", task + " on " + machine);
   std::map<std::string, std::uint32_t> zones;
@@ -50,9 +70,8 @@
 }
 
 void Rules::ordered(const std::string& uid) {
-  constexpr auto kMoment = 250ms;  // what was on its way
   const auto it = jobs_.find(uid);
-  if (it != jobs_.end() && it->second.final == "cancelled" && world_.now() - it->second.cancelled_at > kMoment) ++ordered_after_cancel_;
+  if (it != jobs_.end() && it->second.known.final == "cancelled" && world_.now() - it->second.cancelled_at > kMoment) ++ordered_after_cancel_;
 }
 
 void Rules::ended(const std::string& task, const std::string& machine) {
--- a/tests/standins/rules.hpp
+++ b/tests/standins/rules.hpp
@@ -13,10 +13,17 @@
 
   // What users do and are told.
   void submitted(const wire::JobSpec& spec) { jobs_.try_emplace(spec.uid).first->second.spec = spec; }
-  void accepted(const std::string& uid) { jobs_.at(uid).accepted = true; }
   void asked_to_cancel(const std::string& uid) { jobs_.at(uid).cancel_asked = true; }
-  void told(const std::string& uid, int status, const std::string& phase);
-  void resubmitted(const std::string& uid, int status);
+  /// What the user of a job has been told of it. An answer to anything that is asked from then on may be no older: nothing, accepted, final.
+  struct Known {
+    bool accepted = false;
+    std::string final;
+  };
+  Known known(const std::string& uid) const;
+  /// The answer to a question or a cancellation that was sent when its user knew `then`.
+  void told(const std::string& uid, const Known& then, int status, const std::string& phase);
+  /// The answer to a submission, likewise.
+  void submission_told(const std::string& uid, const Known& then, int status, const std::string& phase);
   /// Polls of an accepted job have failed for longer than is allowed while others were answered.
   void unanswered(const std::string& uid) { broke("forgotten", uid); }
 
@@ -24,6 +31,8 @@
   void started(const std::string& task, const std::string& machine, const std::string& type, const std::string& zone, bool spot);
   void ended(const std::string& task, const std::string& machine);
   void completed(const std::string& uid, std::uint32_t index) { jobs_.at(uid).completed.insert(index); }
+  std::size_t completed(const std::string& uid) const { return jobs_.at(uid).completed.size(); }
+  bool all_completed(const std::string& uid) const { return !jobs_.at(uid).spec.service && jobs_.at(uid).completed.size() == jobs_.at(uid).spec.tasks; }
   /// A machine that hangs executes nothing, so its tasks are not held against anybody until it goes on.
   void hanging(const std::string& machine, bool on) { on ? (void)hanging_.insert(machine) : (void)hanging_.erase(machine); }
   /// To be called after each step.
@@ -35,6 +44,10 @@
   void ordered(const std::string& uid);
   /// Orders to run that came more than a moment after the job's user was told that it is cancelled.
   std::size_t ordered_after_cancel() const { return ordered_after_cancel_; }
+  /// Tasks that started more than a moment after their job's user was told that it is cancelled.
+  std::size_t started_after_cancel() const { return started_after_cancel_; }
+  /// CPUs that the team's tasks take now, whoever knows of them.
+  double used(const std::string& team) const;
   /// The longest after its user was told that the job is cancelled that a task of it was still on a machine.
   Duration longest_after_cancel() const { return longest_after_cancel_; }
 
@@ -44,9 +57,8 @@
   };
   struct Job {
     wire::JobSpec spec;
-    bool accepted = false;
+    Known known;
     bool cancel_asked = false;
-    std::string final;
     Time cancelled_at{};
     std::set<std::uint32_t> completed;
     std::map<std::uint32_t, std::map<std::string, Place>> on;  ///< index -> machine -> place
@@ -62,5 +74,6 @@
   std::size_t starts_ = 0;
   Duration longest_after_cancel_{};
   std::size_t ordered_after_cancel_ = 0;
+  std::size_t started_after_cancel_ = 0;
 };
 }  // namespace limemast::standins
--- a/tests/standins/state_service.cpp
+++ b/tests/standins/state_service.cpp
@@ -138,6 +138,7 @@
     const auto& when = body.at("when");
     if (std::none_of(when.begin(), when.end(), [&](const json& c) { return c.at("key") == key; })) unguarded_.insert(key.get<std::string>());
   }
+  written_ += body.at("writes").size();
   json failed = json::array();
   for (const auto& c : body.at("when")) {
     auto it = entries_.find(c.at("key").get<std::string>());
--- a/tests/standins/state_service.hpp
+++ b/tests/standins/state_service.hpp
@@ -14,6 +14,8 @@
   void handle(const net::HttpRequest& request, Answer answer);
   void set_outage(bool on);
   std::size_t handled() const { return handled_; }
+  /// Puts and deletes that transactions asked for, carried out or not, as the service's limit counts them.
+  std::size_t written() const { return written_; }
   /// Keys that some transaction wrote without a condition on them: carried out late, it would replace what is newer.
   const std::set<std::string>& unguarded() const { return unguarded_; }
   std::size_t keys() const { return entries_.size(); }
@@ -61,6 +63,7 @@
   World& world_;
   std::size_t log_size_;
   std::size_t handled_ = 0;
+  std::size_t written_ = 0;
   std::set<std::string> unguarded_;
   bool outage_ = false;
   std::uint64_t epoch_ = 0;
