Tests: the older listing is brought about

Cause: with its guard left out MirrorTest.AnOlderListingTakesNothingBack passed: the open watch had just been renewed, so that no listing came about. Change: the look comes while the first watch is still open. Seen: fails without the guard, passes with it (store_test, 8 tests).

--- a/tests/store/mirror_test.cpp
+++ b/tests/store/mirror_test.cpp
@@ -174,7 +174,7 @@
 // A listing is under way when a look shows a job that was accepted since: the listing is older, and must not take that back. It did; the job was taken for ended,
 // and its tasks were stopped.
 TEST_F(MirrorTest, AnOlderListingTakesNothingBack) {
-  run(1s);
+  run(300ms);  // the watch that is open by then stays so until a second is over
   auto elsewhere = [&](int n) {
     for (int i = 0; i < n; ++i) service_.put("elsewhere", i);
   };
