Review: a case of a job bound to a zone that loses its machine

It is never started again, since machines are rented only for the zone of the job with the most CPUs.

--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -596,9 +596,22 @@
     const std::lock_guard lock(mutex_);
     std::vector<std::shared_ptr<Worker>> out;
     for (const auto& [name, machine] : machines_)
-      if (machine.worker && !machine.gone) out.push_back(machine.worker);
+      if (machine.worker && !machine.gone && !machine.died) out.push_back(machine.worker);
     return out;
   }
+  /// The machine stops with all that is on it. It stays listed as running for 30 s, then as failed.
+  void stop(const std::string& host) {
+    const std::lock_guard lock(mutex_);
+    auto& machine = machines_.at(host);
+    record_.line(host + " stops with " + std::to_string(machine.worker->live_tasks()) + " tasks");
+    machine.died = Clock::now();
+    machine.worker->end();
+  }
+  /// How many more machines can be rented of `flavor/zone` or `flavor/zone/spot`.
+  int left(const std::string& kind) {
+    const std::lock_guard lock(mutex_);
+    return capacity_[kind];
+  }
   void set_verbose() { verbose_ = true; }
   void set_outage(bool on) { outage_ = on; }
   int released() const { return released_; }
@@ -610,6 +623,7 @@
     bool spot = false;
     Time rented;
     std::optional<Time> up;
+    std::optional<Time> died;
     std::optional<Time> gone;
     std::shared_ptr<Worker> worker;
   };
@@ -714,7 +728,9 @@
                        {"flavor", machine.flavor->name},
                        {"district", machine.zone},
                        {"reclaimable", machine.spot},
-                       {"phase", up ? "running" : "booting"},
+                       {"phase", machine.died && *machine.died + span(30) <= at ? "failed"
+                                 : up                                           ? "running"
+                                                                                : "booting"},
                        {"heldS", seconds_between(machine.rented, at)}});
     }
     return {200, json{{"hosts", hosts}, {"truncated", false}}.dump()};
