--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -19,6 +19,10 @@
   return j;
 }
 
+constexpr int kFirInKootenay = 4;
+
+int rented_in_kootenay(Deployment& d) { return kFirInKootenay - d.cloud->left("fir/kootenay"); }
+
 void start(Deployment& d, const std::string& uid, std::size_t tasks) {
   if (!d.insist("submit", uid)) d.give_up("a job is not accepted");
   if (!d.wait_running(uid, tasks, 25)) d.give_up("a job does not start");
@@ -32,7 +36,7 @@
                       {{"cedar/fraser", 11},
                        {"cedar/burrard", 7},
                        {"fir/fraser", 4},
-                       {"fir/kootenay", 4},
+                       {"fir/kootenay", kFirInKootenay},
                        {"fir/burrard", 3}},
                       argv[1], argv[2]);
   if (!d.wait_ready(20)) d.give_up("the controllers do not become ready");
@@ -42,11 +46,16 @@
   sync.cpus = 16;
   sync.ram_gb = 4.4;
   sync.district = "kootenay";
-  sync.expect_s = 50;
-  sync.run_s = 60;
+  sync.expect_s = 60;
+  sync.run_s = 110;
   const auto job = d.add_job(sync);
   start(d, job, 1);
   start(d, d.add_job(service("fraser", 10, 4)), 10);
+  // Machines beyond the two that are needed in kootenay are given back after a while.
+  constexpr int kNeeded = 2;
+  for (int i = 0; i < 400 && rented_in_kootenay(d) > kNeeded; ++i) pause(0.1);
+  if (rented_in_kootenay(d) != kNeeded)
+    d.give_up("there are other machines in kootenay than expected");
 
   const auto machine = *d.ledger.machines_of(job).begin();
   if (with_trouble()) d.cloud->stop(machine);
