Provisioner: a launch for which there is no offer is logged with the job it was chosen for

Logs at level debug showed the capacity wanted and running, but not why nothing was requested: the cloud backing off, a drained zone and a representative job that cannot use the zone looked the same.

--- a/src/cloud/provisioner.cpp
+++ b/src/cloud/provisioner.cpp
@@ -17,6 +17,19 @@
 /// Demand in excess of whole machines launches another machine only above this fraction of a
 /// machine.
 constexpr double kMachineRoundingSlack = 0.25;
+constexpr auto kNoOfferLogInterval = 60s;
+
+/// The market and the zones of the demand, for log lines.
+std::string place_of(const LaunchDemand& demand) {
+  std::string out = demand.spot ? "spot" : "on-demand";
+  out += " in ";
+  if (!demand.zones) return out + "any zone";
+  bool first = true;
+  for (const auto& zone : *demand.zones) {
+    out += (std::exchange(first, false) ? "" : ", ") + zone;
+  }
+  return out;
+}
 }  // namespace
 
 Provisioner::Provisioner(net::Runtime& runtime, const wire::Settings& settings,
@@ -36,11 +49,28 @@
       is_launching(demand.spot, demand.zones))
     return true;
   const auto offer = select_offer(query(demand));
-  if (!offer) return false;
+  if (!offer) {
+    log_no_offer(demand);
+    return false;
+  }
   enqueue(*offer, demand);
   return true;
 }
 
+void Provisioner::log_no_offer(const LaunchDemand& demand) {
+  const auto place = place_of(demand);
+  const auto now = runtime_.now();
+  const auto [logged, is_first] = no_offer_logged_at_.try_emplace(place, now);
+  if (!is_first && now - logged->second < kNoOfferLogInterval) return;
+  logged->second = now;
+  const auto& job = *typical_task(demand.jobs);
+  spdlog::info(
+      "no machine can be launched for {:.0f} CPUs, {}: chosen for job {} ({} CPUs, {} GB, zone {}) "
+      "among {} jobs, epoch {}",
+      demand.cpus, place, job.uid, job.cpus, job.ram_gb, job.zone.value_or("any"),
+      demand.jobs.size(), membership_.epoch().number);
+}
+
 bool Provisioner::is_launching(bool spot, const std::set<std::string>* zones) const {
   return std::any_of(launches_.begin(), launches_.end(), [&](const Launch& launch) {
     return launch.request.spot == spot && (!zones || zones->contains(launch.request.zone));
--- a/src/cloud/provisioner.hpp
+++ b/src/cloud/provisioner.hpp
@@ -47,6 +47,8 @@
   bool is_launching(bool spot, const std::set<std::string>* zones) const;
   bool is_backing_off(const MachineKind& kind) const;
   OfferQuery query(const LaunchDemand& demand) const;
+  /// Logs that nothing can be launched for the demand, at most once a minute per market and zones.
+  void log_no_offer(const LaunchDemand& demand);
   void enqueue(const Offer& offer, const LaunchDemand& demand);
   void on_response(const std::string& name, const LaunchResponse& response);
   void on_launched(const LaunchRequest& request, const std::vector<std::string>& machines);
@@ -61,6 +63,7 @@
   MachineInventory& inventory_;
   std::vector<Launch> launches_;  ///< queued or unanswered
   std::map<MachineKind, net::Time> backoff_until_;
-  std::uint64_t next_launch_number_ = 1;  ///< part of the request's name
+  std::map<std::string, net::Time> no_offer_logged_at_;  ///< by market and zones
+  std::uint64_t next_launch_number_ = 1;                 ///< part of the request's name
 };
 }  // namespace limemast::cloud
