Cloud: a job that cannot use a zone or a type no longer prevents launches there for the others

An accepted job bound to a zone lost its machine and was never started again; the cloud had machines of the zone.

Cause: machines are launched for one representative job, the one that requests the most CPUs in all. Where that job may not use the zone that lacks capacity, or the types that are available there, no offer was found and nothing was launched for any job. What the zone lacked was then launched in another zone, where nobody needed it, terminated when idle, and launched again.

Change: select_offer chooses the representative among the jobs that can use an available offer. Why it works: as long as one job of a zone can use one offer, that offer is taken; the capacity to be launched was counted by zone before already.

The simulator can stop chosen machines, limit a kind of machine, and set a job's run time.

--- a/src/cloud/offer_selection.cpp
+++ b/src/cloud/offer_selection.cpp
@@ -9,22 +9,54 @@
 constexpr double kMinTaskCpus = 0.01;
 constexpr std::size_t kMinOverdueMachines = 2;
 
-bool allows_zone(const OfferQuery& query, const std::string& zone) {
-  return (!query.task.zone || *query.task.zone == zone) &&
-         (!query.zones || query.zones->contains(zone));
+/// A type that can be launched in a zone now.
+struct AvailableKind {
+  const wire::MachineType* type = nullptr;
+  const std::string* zone = nullptr;
+};
+
+std::vector<AvailableKind> available_kinds(const OfferQuery& query) {
+  std::vector<AvailableKind> out;
+  for (const auto& type : query.types)
+    for (const auto& zone : type.zones)
+      if ((!query.zones || query.zones->contains(zone)) && query.is_available(type, zone))
+        out.push_back({&type, &zone});
+  return out;
+}
+
+bool can_use(const wire::JobSpec& job, const AvailableKind& kind) {
+  return (!job.zone || *job.zone == *kind.zone) && job.allows_type(kind.type->name) &&
+         tasks_per_machine(*kind.type, job) >= 1;
+}
+
+double requested_cpus(const wire::JobSpec& job) { return job.cpus * job.tasks; }
+
+/// The job that requests the most CPUs among those that can use one of these kinds; nullptr if none
+/// can.
+const wire::JobSpec* largest_job(const std::vector<const wire::JobSpec*>& jobs,
+                                 const std::vector<AvailableKind>& kinds) {
+  const wire::JobSpec* largest = nullptr;
+  for (const auto* job : jobs) {
+    if (largest && requested_cpus(*job) <= requested_cpus(*largest)) continue;
+    if (std::any_of(kinds.begin(), kinds.end(),
+                    [&](const auto& kind) { return can_use(*job, kind); }))
+      largest = job;
+  }
+  return largest;
 }
 
 std::vector<Offer> find_offers(OfferQuery& query) {
   std::vector<Offer> out;
-  for (const auto& type : query.types) {
-    if (!query.task.allows_type(type.name)) continue;
-    const double used_cpus = tasks_per_machine(type, query.task) * query.task.cpus;
-    if (used_cpus <= 0) continue;
+  const auto kinds = available_kinds(query);
+  const auto* job = largest_job(query.jobs, kinds);
+  if (!job) return out;
+  for (const auto& kind : kinds) {
+    if (!can_use(*job, kind)) continue;
+    const auto& type = *kind.type;
     const double price = query.spot ? type.spot_price : type.price;
-    for (const auto& zone : type.zones)
-      if (query.is_available(type, zone) && allows_zone(query, zone))
-        out.push_back({&type, zone, price / used_cpus,
-                       query.overdue[{type.name, zone}] >= kMinOverdueMachines});
+    out.push_back({&type, *kind.zone,
+                   price / (tasks_per_machine(type, *job) * std::max(job->cpus, kMinTaskCpus)),
+                   query.overdue[{type.name, *kind.zone}] >= kMinOverdueMachines});
   }
   return out;
 }
@@ -39,12 +71,6 @@
   return count;
 }
 
-const wire::JobSpec* typical_task(const std::vector<const wire::JobSpec*>& waiting) {
-  return *std::max_element(waiting.begin(), waiting.end(), [](const auto* a, const auto* b) {
-    return a->cpus * a->tasks < b->cpus * b->tasks;
-  });
-}
-
 std::optional<Offer> select_offer(OfferQuery query) {
   auto offers = find_offers(query);
   if (offers.empty()) return std::nullopt;
--- a/src/cloud/offer_selection.hpp
+++ b/src/cloud/offer_selection.hpp
@@ -21,8 +21,8 @@
 
 /// The machines to launch and the offers to choose from.
 struct OfferQuery {
-  /// A representative task that the machines must fit.
-  const wire::JobSpec& task;
+  /// The jobs for which machines are launched.
+  const std::vector<const wire::JobSpec*>& jobs;
   bool spot = false;
   const std::set<std::string>* zones = nullptr;  ///< allowed zones; nullptr: any
   /// The types with current prices, in the cloud's order.
@@ -37,8 +37,8 @@
 
 /// How many such tasks fit on a machine of the type, limited by its scarcest resource.
 double tasks_per_machine(const wire::MachineType& type, const wire::JobSpec& task);
-/// The task of the job that requests the most CPUs; `waiting` must not be empty.
-const wire::JobSpec* typical_task(const std::vector<const wire::JobSpec*>& waiting);
-/// Returns the best offer; empty if no type fits the task or none is available.
+/// Returns the best offer for the job that requests the most CPUs among those that can use an
+/// available offer. A job that can use none must not prevent the launch of machines for the others.
+/// Empty if no job can use an available offer.
 std::optional<Offer> select_offer(OfferQuery query);
 }  // namespace limemast::cloud
--- a/src/cloud/provisioner.cpp
+++ b/src/cloud/provisioner.cpp
@@ -63,12 +63,10 @@
   const auto [logged, is_first] = no_offer_logged_at_.try_emplace(place, now);
   if (!is_first && now - logged->second < kNoOfferLogInterval) return;
   logged->second = now;
-  const auto& job = *typical_task(demand.jobs);
   spdlog::info(
-      "no machine can be launched for {:.0f} CPUs, {}: chosen for job {} ({} CPUs, {} GB, zone {}) "
-      "among {} jobs, epoch {}",
-      demand.cpus, place, job.uid, job.cpus, job.ram_gb, job.zone.value_or("any"),
-      demand.jobs.size(), membership_.epoch().number);
+      "no machine can be launched for {:.0f} CPUs, {}: none of {} jobs can use an available type, "
+      "epoch {}",
+      demand.cpus, place, demand.jobs.size(), membership_.epoch().number);
 }
 
 bool Provisioner::is_launching(bool spot, const std::set<std::string>* zones) const {
@@ -83,7 +81,7 @@
 }
 
 OfferQuery Provisioner::query(const LaunchDemand& demand) const {
-  OfferQuery out{.task = *typical_task(demand.jobs),
+  OfferQuery out{.jobs = demand.jobs,
                  .spot = demand.spot,
                  .zones = demand.zones,
                  .types = catalog_.types(),
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -87,6 +87,14 @@
   /// Stops random machines for good. The cloud lists them as running for kFailureListDelay, then as
   /// failed.
   void kill_machines(std::size_t count);
+  /// Stops these machines for good, likewise.
+  void kill_machines(const std::set<std::string>& names);
+  /// From now on the cloud rents out at most this many machines of the type in the zone, spot or
+  /// on-demand. Machines that are rented already stay.
+  void set_pool_size(const std::string& type, const std::string& zone, bool spot,
+                     std::size_t machines) {
+    pool_sizes_[{type, zone, spot}] = machines;
+  }
   void state_outage(Duration time);
   /// The state service rejects the requests of this controller alone and holds the answers to its
   /// open watches, so that its lease expires.
@@ -129,6 +137,11 @@
 
   /// With `cancel_later`, its user cancels the job after a random time.
   void submit(wire::JobSpec spec, bool cancel_later = false);
+  /// Tasks of this submitted job that start from now on run for `run_time_s`, whatever its
+  /// estimate.
+  void set_run_time(const std::string& uid, double run_time_s) {
+    jobs_.at(uid).run_time_s = run_time_s;
+  }
   /// The job's user cancels it and repeats the request until it is confirmed.
   void cancel(const std::string& uid);
   wire::JobSpec random_job();
@@ -149,6 +162,11 @@
   void query_status(const std::string& uid, std::size_t node);
   /// Machines with a task of this job that has not exited.
   std::set<std::string> machines_with(const std::string& uid) const;
+  /// Whether a working machine that the job may use has room for one of its tasks and the team is
+  /// below its limit.
+  bool has_room_for(const wire::JobSpec& spec) const;
+  /// Machines that the cloud has rented out so far.
+  std::size_t launched_machines() const { return workers_.size(); }
   /// Starts to measure longest_wait_with_room anew.
   void watch_waiting_jobs();
   /// The longest uninterrupted time during which tasks of an accepted job waited although a
@@ -272,6 +290,10 @@
   void execute_commands(Worker& w, const json& commands);
   void drop_all_tasks(Worker& w);
   void check_lease(Worker& w);
+  /// The machine stops with all that is on it.
+  void kill(Worker& w);
+  /// The most machines that the cloud rents out of this kind.
+  std::size_t pool_size(const std::string& type, const std::string& zone, bool spot) const;
   /// Runs `act` on the machine now, or when it no longer hangs. Does nothing if it is not up.
   void when_not_hung(const std::string& name, std::function<void(Worker&)> act);
   void end_task(Worker& w, Task& t, wire::ExitCause exit_cause);
@@ -300,6 +322,8 @@
   std::vector<NodeProcess> nodes_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, UserJob> jobs_;
+  std::map<std::tuple<std::string, std::string, bool>, std::size_t>
+      pool_sizes_;                        ///< by type, zone and whether spot
   std::map<std::string, json> launches_;  ///< answers to launch requests, by the request's name
   std::deque<json> machine_lists_;        ///< one a second, the newest first
   Duration max_state_delay_{};
@@ -316,7 +340,6 @@
   Duration longest_cancellation_{};
   std::size_t stopped_tasks_ = 0;
   void check_waiting_jobs();
-  bool has_room_for(const wire::JobSpec& spec) const;
   bool watching_waiting_jobs_ = false;
   std::map<std::string, Time> waiting_since_;
   Duration longest_wait_{};
