Cloud: a listing older than a machine no longer ends that machine

What callers saw: a job waits longer, and machines are paid for and terminated before they are up: capacity returned that another job waits for.

Cause: a machine that a listing contained and the next one does not is terminated as gone. The cloud may answer with a list that is older than the one before; a machine launched in between is missing from it while it boots.

Change: a missing machine counts as gone only if it was launched before the oldest state that the listing can show, twice the usual lag before now and a margin of 1 s. Machines that are older than that, all with tasks for long, are handled as before.

--- a/src/cloud/machine_inventory.cpp
+++ b/src/cloud/machine_inventory.cpp
@@ -9,6 +9,9 @@
 /// Terminations are kept for this many times the lag of the cloud's listing, plus the margin.
 constexpr int kTerminatedRetentionListLags = 10;
 constexpr auto kTerminatedRetentionMargin = 60s;
+/// A listing may lag by up to this many times its usual lag, plus the margin.
+constexpr int kMaxListLagFactor = 2;
+constexpr auto kListLagMargin = 1s;
 }  // namespace
 
 MachineInventory::MachineInventory(const wire::Settings& settings, machines::Registry& registry,
@@ -71,9 +74,13 @@
     if (!is_terminated(listed.name)) apply_listed(listed, now);
   }
   // The cloud lists a machine until it is gone. A machine that is no longer listed is terminated
-  // nevertheless: only the cloud's confirmation proves that it is gone.
+  // nevertheless: only the cloud's confirmation proves that it is gone. A listing may be older than
+  // the one before and then lacks machines that were launched in between.
+  const auto listed_since =
+      now - kMaxListLagFactor * net::to_duration(settings_.machine_list_lag) - kListLagMargin;
   for (const auto& [name, machine] : machines_)
-    if (machine.listed && !names.contains(name)) mark_for_termination(name);
+    if (machine.listed && machine.launched_at < listed_since && !names.contains(name))
+      mark_for_termination(name);
   const auto oldest = now -
                       kTerminatedRetentionListLags * net::to_duration(settings_.machine_list_lag) -
                       kTerminatedRetentionMargin;
--- a/tests/cloud/scale_out_test.cpp
+++ b/tests/cloud/scale_out_test.cpp
@@ -157,6 +157,34 @@
   EXPECT_TRUE(holds_within(kMaxWait, [&] { return runs(waiting); }));
 }
 
+class OlderMachineListing : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  SimulatedWorld world_{GetParam()};
+  // No machine boots during the test.
+  SimulatedCluster cluster_{world_,
+                            settings_for_tests(),
+                            {.machines_per_pool = 6,
+                             .scripted = true,
+                             .min_boot_s = 60,
+                             .max_boot_s = 60,
+                             .boot_failure_share = 0}};
+};
+
+// Guards against machines that are terminated while they boot, because a listing that is older than
+// the one before, and older than they are, does not contain them.
+TEST_P(OlderMachineListing, DoesNotEndMachinesLaunchedSince) {
+  spdlog::set_level(std::getenv("SIM_LOG") ? spdlog::level::debug : spdlog::level::off);
+  cluster_.stop_arrivals();
+  cluster_.run(10s);
+  for (int i = 0; i < 4; ++i) {
+    submit(cluster_, plain(cluster_, true, 1, "red", 0, 16));
+    cluster_.run(5s);
+    EXPECT_EQ(cluster_.terminated_machines(), std::set<std::string>());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OlderMachineListing, testing::Range<std::uint64_t>(1, 7));
+
 /// Jobs that wait beside a larger one that cannot use the same machines.
 std::vector<Case> beside_a_larger_job() {
   const auto large_elsewhere = service(10, 4, "a");
