Cloud: machines full of long tasks no longer count as machines for waiting short jobs

What callers saw: a short job bound to a zone, to a type or to machines that are not there waits for ever beside machines that services fill.

Cause: ScaleOut::has_machine_for was content with any machine of a fitting type in the zone, however full, and jobs that may go anywhere were not looked at. Short tasks do not start beside long ones, and services do not end. The count of CPUs by zone does not help where what services leave free adds up to enough but no machine has room.

Change: MachineSurvey reads all machines once a step: which kinds have room, are booting, or are full of short tasks only. ScaleOut launches for a short job when no machine has room and none is open to short tasks (after 4 s, at once where there is no machine at all), or when the open ones have stayed full for 60 s. On-demand machines stand in for spot ones for one task only, and only where no machine is open. Nothing is launched while the team's limit allows no further task.

Tests: BesideFullMachines/ScaleOut.* (simulated; short and long jobs, services, arrays spread and in one zone, spot and on-demand, with and without spot machines, newly submitted and after a loss).

--- a/src/app/controller_instance.cpp
+++ b/src/app/controller_instance.cpp
@@ -53,7 +53,7 @@
                job_owner_, status_reader_),
       admission_filter_(runtime, settings),
       autoscaler_(runtime, settings, client_, watch_cache_, membership_, job_directory_, registry_,
-                  job_owner_, drains_),
+                  job_owner_, drains_, capacity_diagnosis_),
       drain_controller_(runtime, settings, membership_, job_directory_, registry_, job_owner_,
                         scheduler_, drains_),
       operator_api_(runtime, settings, client_, watch_cache_, membership_, message_bus_,
--- a/src/cloud/autoscaler.cpp
+++ b/src/cloud/autoscaler.cpp
@@ -13,7 +13,8 @@
 Autoscaler::Autoscaler(net::Runtime& runtime, const wire::Settings& settings, store::Client& client,
                        const store::WatchCache& watch_cache, cluster::Membership& membership,
                        cluster::JobDirectory& job_directory, machines::Registry& registry,
-                       jobs::JobOwner& job_owner, const drains::Drains& drains)
+                       jobs::JobOwner& job_owner, const drains::Drains& drains,
+                       diagnostics::CapacityDiagnosis& capacity_diagnosis)
     : runtime_(runtime),
       settings_(settings),
       membership_(membership),
@@ -32,7 +33,7 @@
                        provisioner_),
       planner_(settings.tuning),
       scale_out_(runtime, settings, membership, job_directory, registry, job_owner, inventory_,
-                 provisioner_),
+                 capacity_diagnosis, provisioner_),
       scale_in_(runtime, settings, registry, job_owner, drains, inventory_),
       terminator_(runtime, membership, registry, cloud_, inventory_),
       deregistration_(runtime, settings, client, watch_cache, membership, registry, job_owner,
--- a/src/cloud/autoscaler.hpp
+++ b/src/cloud/autoscaler.hpp
@@ -27,7 +27,8 @@
   Autoscaler(net::Runtime& runtime, const wire::Settings& settings, store::Client& client,
              const store::WatchCache& watch_cache, cluster::Membership& membership,
              cluster::JobDirectory& job_directory, machines::Registry& registry,
-             jobs::JobOwner& job_owner, const drains::Drains& drains);
+             jobs::JobOwner& job_owner, const drains::Drains& drains,
+             diagnostics::CapacityDiagnosis& capacity_diagnosis);
   /// Receives (name, address) of registered machines that the cloud lists as running but that have
   /// sent no heartbeat to any controller.
   using MachinesWithoutHeartbeatHandler =
--- a/src/cloud/scale_out.cpp
+++ b/src/cloud/scale_out.cpp
@@ -7,15 +7,19 @@
 namespace limemast::cloud {
 namespace {
 using namespace std::chrono_literals;
-/// Machines are launched for a long job whose tasks have been pending for this long.
+/// Machines are launched for a job that existing machines cannot run if its tasks have been pending
+/// for this long.
 constexpr auto kUnschedulableDelay = 4s;
+/// How long the pending tasks of a short job wait for room on full machines. Short tasks end
+/// sooner.
+constexpr auto kMaxWaitForFullMachines = 60s;
 }  // namespace
 
 ScaleOut::ScaleOut(net::Runtime& runtime, const wire::Settings& settings,
                    const cluster::Membership& membership,
                    const cluster::JobDirectory& job_directory, const machines::Registry& registry,
                    const jobs::JobOwner& job_owner, const MachineInventory& inventory,
-                   Provisioner& provisioner)
+                   diagnostics::CapacityDiagnosis& capacity_diagnosis, Provisioner& provisioner)
     : runtime_(runtime),
       settings_(settings),
       membership_(membership),
@@ -23,7 +27,9 @@
       registry_(registry),
       job_owner_(job_owner),
       inventory_(inventory),
-      provisioner_(provisioner) {}
+      capacity_diagnosis_(capacity_diagnosis),
+      provisioner_(provisioner),
+      team_limits_(settings) {}
 
 bool ScaleOut::launch_shortfall(const Demand& demand, const Capacity& supply) {
   const auto& wanted = demand.capacity;
@@ -52,46 +58,41 @@
 }
 
 void ScaleOut::launch_for_unschedulable() {
-  // Sufficient total capacity may still not fit a job because of its zone, its machine types, or
-  // its spread over zones.
+  // Sufficient total capacity may still not fit a job because of its zone, its machine types, its
+  // spread over zones, or other tasks on the machines.
+  const MachineSurvey survey(inventory_, registry_, job_owner_, job_directory_, runtime_.now());
   launch_for_long_jobs();
-  launch_for_short_jobs();
-  std::erase_if(waiting_since_,
-                [&](const auto& job) { return !job_owner_.jobs().contains(job.first); });
+  launch_for_short_jobs(survey);
+  std::erase_if(waiting_since_, [&](const auto& waiting) {
+    const auto* job = job_directory_.find(waiting.first);
+    return !job || !job->needs_capacity();
+  });
 }
 
 bool ScaleOut::waits_for_machines(const jobs::Job& job) const {
   return job.record.is_long && job.active() && job.pending() > 0 && job_owner_.may_assign(job);
 }
 
-void ScaleOut::launch_for_long_jobs() {
+net::Duration ScaleOut::waited(const std::string& uid) {
   const auto now = runtime_.now();
+  return now - waiting_since_.try_emplace(uid, now).first->second;
+}
+
+void ScaleOut::launch_for_long_jobs() {
   for (const auto& [uid, job] : job_owner_.jobs()) {
+    if (!job->record.is_long) continue;
     if (!waits_for_machines(*job)) {
       waiting_since_.erase(uid);
       continue;
     }
-    if (now - waiting_since_.try_emplace(uid, now).first->second < kUnschedulableDelay) continue;
+    if (waited(uid) < kUnschedulableDelay) continue;
     const auto& spec = job->record.spec;
-    const auto zones = allowed_zones(*job);
+    const auto zones = allowed_zones(spec, job->zones);
     if (!is_provisioning(spec, zones))
       provisioner_.launch({spec.spot, job->pending() * spec.cpus, {&spec}, &zones});
   }
 }
 
-std::set<std::string> ScaleOut::allowed_zones(const jobs::Job& job) const {
-  const auto& spec = job.record.spec;
-  std::set<std::string> out;
-  for (const auto& zone : settings_.zones) {
-    const auto tasks = job.zones.find(zone);
-    const bool has_tasks = tasks != job.zones.end();
-    const bool full = spec.spread && has_tasks && tasks->second >= spec.max_tasks_per_zone();
-    const bool is_elsewhere = spec.one_zone && !job.zones.empty() && !has_tasks;
-    if (!full && !is_elsewhere && (!spec.zone || *spec.zone == zone)) out.insert(zone);
-  }
-  return out;
-}
-
 bool ScaleOut::is_provisioning(const wire::JobSpec& spec,
                                const std::set<std::string>& zones) const {
   const auto& machines = inventory_.machines();
@@ -103,25 +104,51 @@
   });
 }
 
-void ScaleOut::launch_for_short_jobs() {
+std::set<std::string> ScaleOut::allowed_zones(
+    const wire::JobSpec& spec, const std::map<std::string, std::uint32_t>& tasks_by_zone) const {
+  std::set<std::string> out;
+  for (const auto& zone : settings_.zones) {
+    const auto tasks = tasks_by_zone.find(zone);
+    const bool has_tasks = tasks != tasks_by_zone.end();
+    const bool full = spec.spread && has_tasks && tasks->second >= spec.max_tasks_per_zone();
+    const bool is_elsewhere = spec.one_zone && !tasks_by_zone.empty() && !has_tasks;
+    if (!full && !is_elsewhere && (!spec.zone || *spec.zone == zone)) out.insert(zone);
+  }
+  return out;
+}
+
+bool ScaleOut::is_at_team_limit(const wire::JobSpec& spec) const {
+  const auto* limit = team_limits_.find(spec.team);
+  if (!limit) return false;
+  const auto& usage = capacity_diagnosis_.team_usage(runtime_.now());
+  const auto used = usage.find(spec.team);
+  auto with_next_task = wire::Resources::of(spec);
+  if (used != usage.end()) with_next_task += used->second;
+  with_next_task.ram_gb = 0;  // never limited
+  return !limit->fits(with_next_task);
+}
+
+void ScaleOut::launch_for_short_jobs(const MachineSurvey& survey) {
   for (const auto& [uid, job] : job_directory_.all()) {
-    const auto& spec = job.spec;
-    const bool goes_anywhere = !spec.types && !spec.zone && spec.spot;
-    if (!job.needs_capacity() || job.is_long || goes_anywhere || has_machine_for(spec)) continue;
-    if (!provisioner_.launch({spec.spot, spec.tasks * spec.cpus, {&spec}, nullptr}))
-      provisioner_.launch({false, spec.cpus, {&spec}, nullptr});
+    if (job.is_long || !job.needs_capacity()) continue;
+    if (job.pending_tasks.value_or(job.spec.tasks) == 0)
+      waiting_since_.erase(uid);
+    else if (!is_at_team_limit(job.spec))
+      launch_for_short_job(job, survey);
   }
 }
 
-bool ScaleOut::has_machine_for(const wire::JobSpec& spec) const {
-  const auto& machines = inventory_.machines();
-  return std::any_of(machines.begin(), machines.end(), [&](const auto& entry) {
-    const auto& [name, machine] = entry;
-    const auto* type = registry_.type(machine.type);
-    return type && type->fits(spec) && spec.allows_type(machine.type) &&
-           (!spec.zone || *spec.zone == machine.zone) && (spec.spot || !machine.spot) &&
-           !registry_.cordoned(name) && !registry_.drained(name, machine.zone) &&
-           !inventory_.is_marked_for_termination(name);
-  });
+void ScaleOut::launch_for_short_job(const cluster::ActiveJob& job, const MachineSurvey& survey) {
+  const auto& spec = job.spec;
+  const auto time_waited = waited(spec.uid);
+  const auto zones = allowed_zones(spec, survey.tasks_by_zone(spec.uid));
+  const auto outlook = survey.outlook(spec, zones);
+  if (outlook.has_room) return;
+  if (outlook.has_full_machine && time_waited < kMaxWaitForFullMachines) return;
+  if (outlook.has_machine && time_waited < kUnschedulableDelay) return;
+  const double pending = job.pending_tasks.value_or(spec.tasks);
+  if (provisioner_.launch({spec.spot, pending * spec.cpus, {&spec}, &zones})) return;
+  if (spec.spot && !outlook.has_full_machine)
+    provisioner_.launch({false, spec.cpus, {&spec}, &zones});
 }
 }  // namespace limemast::cloud
--- a/src/cloud/scale_out.hpp
+++ b/src/cloud/scale_out.hpp
@@ -5,7 +5,10 @@
 #include <string>
 
 #include "cloud/capacity_planner.hpp"
+#include "cloud/machine_survey.hpp"
 #include "cloud/provisioner.hpp"
+#include "diagnostics/capacity_diagnosis.hpp"
+#include "jobs/team_limits.hpp"
 
 namespace limemast::cloud {
 /// Launches machines for missing total capacity, and for jobs that fit on no machine although the
@@ -15,7 +18,8 @@
   ScaleOut(net::Runtime& runtime, const wire::Settings& settings,
            const cluster::Membership& membership, const cluster::JobDirectory& job_directory,
            const machines::Registry& registry, const jobs::JobOwner& job_owner,
-           const MachineInventory& inventory, Provisioner& provisioner);
+           const MachineInventory& inventory, diagnostics::CapacityDiagnosis& capacity_diagnosis,
+           Provisioner& provisioner);
   /// Launches machines for the capacity by which `demand` exceeds `supply`. Returns false if spot
   /// machines are missing and none are available at present.
   bool launch_shortfall(const Demand& demand, const Capacity& supply);
@@ -25,14 +29,21 @@
  private:
   void log_capacity(const Capacity& wanted, const Capacity& supply) const;
   void launch_for_long_jobs();
-  /// Launches a machine for each short job that fits on no existing machine. The jobs' owners place
-  /// the tasks, but only the leader can launch machines.
-  void launch_for_short_jobs();
-  bool waits_for_machines(const jobs::Job& job) const;
-  /// The zones in which the job's zone constraints allow another task.
-  std::set<std::string> allowed_zones(const jobs::Job& job) const;
+  /// Launches machines for short jobs that no existing machine can run. The jobs' owners place the
+  /// tasks, but only the leader can launch machines.
+  void launch_for_short_jobs(const MachineSurvey& survey);
+  void launch_for_short_job(const cluster::ActiveJob& job, const MachineSurvey& survey);
   bool is_provisioning(const wire::JobSpec& spec, const std::set<std::string>& zones) const;
-  bool has_machine_for(const wire::JobSpec& spec) const;
+  bool waits_for_machines(const jobs::Job& job) const;
+  /// Whether the team's limit does not allow another task of the job, so that a machine would be of
+  /// no use to it.
+  bool is_at_team_limit(const wire::JobSpec& spec) const;
+  /// How long the job has been seen to wait; starts to count at the first call.
+  net::Duration waited(const std::string& uid);
+  /// The zones in which the job's zone constraints allow another task. `tasks_by_zone`: the tasks
+  /// of the job that are assigned or run.
+  std::set<std::string> allowed_zones(
+      const wire::JobSpec& spec, const std::map<std::string, std::uint32_t>& tasks_by_zone) const;
 
   net::Runtime& runtime_;
   const wire::Settings& settings_;
@@ -41,7 +52,9 @@
   const machines::Registry& registry_;
   const jobs::JobOwner& job_owner_;
   const MachineInventory& inventory_;
+  diagnostics::CapacityDiagnosis& capacity_diagnosis_;
   Provisioner& provisioner_;
-  std::map<std::string, net::Time> waiting_since_;  ///< long jobs with pending tasks, by uid
+  const jobs::TeamLimits team_limits_;
+  std::map<std::string, net::Time> waiting_since_;  ///< jobs with pending tasks, by uid
 };
 }  // namespace limemast::cloud
--- a/tests/cloud/scale_out_test.cpp
+++ b/tests/cloud/scale_out_test.cpp
@@ -72,6 +72,19 @@
   shape.spot = true;
   return shape;
 }
+Shape on_large(Shape shape) { return on_type(std::move(shape), "large"); }
+Shape in_any_zone(Shape shape) {
+  shape.zone.reset();
+  return shape;
+}
+Shape spread(Shape shape) {
+  shape.spread = true;
+  return shape;
+}
+Shape in_one_zone(Shape shape) {
+  shape.one_zone = true;
+  return shape;
+}
 Shape none() { return array(0, 0, 0); }
 
 class ScaleOut : public testing::TestWithParam<std::tuple<Case, std::uint64_t>> {
@@ -205,6 +218,35 @@
   };
 }
 
+/// Jobs that wait beside machines full of services. A task of the services takes more than half of
+/// a machine, so the CPUs that they leave free add up to more than what the job needs.
+std::vector<Case> beside_full_machines() {
+  const auto occupant = on_large(service(1, 10, "b"));
+  const auto short_job = on_large(in_zone(array(1, 10, 50), "b"));
+  const auto long_job = on_large(in_zone(array(1, 10, 70), "b"));
+  using Kinds = std::vector<std::tuple<std::string, std::string, bool>>;
+  const Kinds no_spot{{"large", "a", true}, {"large", "b", true}, {"large", "c", true}};
+  const Kinds only_in_b{
+      {"large", "a", true}, {"large", "a", false}, {"large", "c", true}, {"large", "c", false}};
+  const Kinds not_in_c{{"large", "c", true}, {"large", "c", false}};
+  return {
+      {"ShortOnDemand", none(), occupant, short_job, {}},
+      {"ShortSpot", none(), occupant, on_spot(short_job), {}},
+      {"ShortSpotWithoutSpotMachines", none(), occupant, on_spot(short_job), no_spot},
+      {"ShortSpotAnywhereWithoutSpotMachines", none(), in_any_zone(occupant),
+       in_any_zone(on_spot(short_job)), no_spot},
+      {"ShortSpreadArray", none(), occupant, on_large(spread(array(2, 10, 50))), not_in_c},
+      {"ShortSpreadSpotArray", none(), occupant, on_large(spread(on_spot(array(2, 10, 50)))),
+       not_in_c},
+      {"ShortArrayInOneZone", none(), occupant, on_large(in_one_zone(array(2, 10, 50))), only_in_b},
+      {"ShortOfAnyType", none(), occupant, in_zone(array(1, 10, 50), "b"), {}},
+      {"LongOnDemand", none(), occupant, long_job, {}},
+      {"LongSpot", none(), occupant, on_spot(long_job), {}},
+      {"ShortArray", none(), occupant, on_large(in_zone(array(2, 10, 50), "b")), {}},
+      {"Service", none(), occupant, occupant, {}},
+  };
+}
+
 std::string name_of_case(const testing::TestParamInfo<ScaleOut::ParamType>& info) {
   return std::get<0>(info.param).name + "_" + std::to_string(std::get<1>(info.param));
 }
@@ -213,5 +255,10 @@
                          testing::Combine(testing::ValuesIn(beside_a_larger_job()),
                                           testing::Range<std::uint64_t>(1, 4)),
                          name_of_case);
+
+INSTANTIATE_TEST_SUITE_P(BesideFullMachines, ScaleOut,
+                         testing::Combine(testing::ValuesIn(beside_full_machines()),
+                                          testing::Range<std::uint64_t>(1, 4)),
+                         name_of_case);
 }  // namespace
 }  // namespace limemast
