Cloud: a long job that may use spot machines is not left without any machine when there are none

What callers saw: a long job that may use spot machines waits for ever where the cloud has none of them and the on-demand machines are full of services.

Cause: machines are launched for waiting long jobs in the spot market only if the job may use it. The overflow to on-demand machines is for jobs with a deadline and counts CPUs, which fragments of machines with services satisfy. A booting machine also counted as launched for a job that it is too small for, or after its boot was overdue.

Change: where no spot machine can be launched and no machine has room for a task even after its other batch tasks have ended, one on-demand machine is launched (enough for all tasks of a gang). Best-effort jobs are left out: their tasks are not placed on empty on-demand machines. Booting machines count if the task fits and they are not overdue.

--- a/src/cloud/scale_out.cpp
+++ b/src/cloud/scale_out.cpp
@@ -13,6 +13,12 @@
 /// How long the pending tasks of a short job wait for room on full machines. Short tasks end
 /// sooner.
 constexpr auto kMaxWaitForFullMachines = 60s;
+
+/// The CPUs without which the job cannot start: those of all pending tasks of a gang, otherwise of
+/// one task.
+double cpus_to_start(const jobs::Job& job) {
+  return (job.record.spec.gang ? job.pending() : 1) * job.record.spec.cpus;
+}
 }  // namespace
 
 ScaleOut::ScaleOut(net::Runtime& runtime, const wire::Settings& settings,
@@ -61,7 +67,7 @@
   // Sufficient total capacity may still not fit a job because of its zone, its machine types, its
   // spread over zones, or other tasks on the machines.
   const MachineSurvey survey(inventory_, registry_, job_owner_, job_directory_, runtime_.now());
-  launch_for_long_jobs();
+  launch_for_long_jobs(survey);
   launch_for_short_jobs(survey);
   std::erase_if(waiting_since_, [&](const auto& waiting) {
     const auto* job = job_directory_.find(waiting.first);
@@ -78,7 +84,7 @@
   return now - waiting_since_.try_emplace(uid, now).first->second;
 }
 
-void ScaleOut::launch_for_long_jobs() {
+void ScaleOut::launch_for_long_jobs(const MachineSurvey& survey) {
   for (const auto& [uid, job] : job_owner_.jobs()) {
     if (!job->record.is_long) continue;
     if (!waits_for_machines(*job)) {
@@ -88,22 +94,16 @@
     if (waited(uid) < kUnschedulableDelay) continue;
     const auto& spec = job->record.spec;
     const auto zones = allowed_zones(spec, job->zones);
-    if (!is_provisioning(spec, zones))
-      provisioner_.launch({spec.spot, job->pending() * spec.cpus, {&spec}, &zones});
+    if (survey.is_booting(spec, zones, spec.spot) ||
+        provisioner_.launch({spec.spot, job->pending() * spec.cpus, {&spec}, &zones}))
+      continue;
+    // Best-effort tasks that may use spot machines are not placed on empty on-demand machines.
+    if (spec.spot && !settings_.is_best_effort(spec) &&
+        !survey.has_room_beside_services(spec, zones))
+      provisioner_.launch({false, cpus_to_start(*job), {&spec}, &zones});
   }
 }
 
-bool ScaleOut::is_provisioning(const wire::JobSpec& spec,
-                               const std::set<std::string>& zones) const {
-  const auto& machines = inventory_.machines();
-  return std::any_of(machines.begin(), machines.end(), [&](const auto& entry) {
-    const auto& [name, machine] = entry;
-    return machine.phase == wire::MachinePhase::Booting && machine.spot == spec.spot &&
-           zones.contains(machine.zone) && spec.allows_type(machine.type) &&
-           !registry_.find(name) && !inventory_.is_marked_for_termination(name);
-  });
-}
-
 std::set<std::string> ScaleOut::allowed_zones(
     const wire::JobSpec& spec, const std::map<std::string, std::uint32_t>& tasks_by_zone) const {
   std::set<std::string> out;
--- a/src/cloud/scale_out.hpp
+++ b/src/cloud/scale_out.hpp
@@ -28,12 +28,11 @@
 
  private:
   void log_capacity(const Capacity& wanted, const Capacity& supply) const;
-  void launch_for_long_jobs();
+  void launch_for_long_jobs(const MachineSurvey& survey);
   /// Launches machines for short jobs that no existing machine can run. The jobs' owners place the
   /// tasks, but only the leader can launch machines.
   void launch_for_short_jobs(const MachineSurvey& survey);
   void launch_for_short_job(const cluster::ActiveJob& job, const MachineSurvey& survey);
-  bool is_provisioning(const wire::JobSpec& spec, const std::set<std::string>& zones) const;
   bool waits_for_machines(const jobs::Job& job) const;
   /// Whether the team's limit does not allow another task of the job, so that a machine would be of
   /// no use to it.
--- a/tests/cloud/scale_out_test.cpp
+++ b/tests/cloud/scale_out_test.cpp
@@ -170,6 +170,20 @@
   EXPECT_TRUE(holds_within(kMaxWait, [&] { return runs(waiting); }));
 }
 
+// A machine that never comes up must not count as launched for the job for longer than a boot
+// takes.
+TEST_P(ScaleOut, DoesNotWaitForAMachineThatNeverBoots) {
+  const auto waiting = spec_of(test_case().waiting);
+  ASSERT_NO_FATAL_FAILURE(start(test_case().largest));
+  ASSERT_NO_FATAL_FAILURE(occupy_machines_for(waiting));
+  cluster_.set_boot_failure_share(1);
+  const auto launched = cluster_.launched_machines();
+  submit(waiting);
+  holds_within(kMaxWait, [&] { return cluster_.launched_machines() > launched; });
+  cluster_.set_boot_failure_share(0);
+  EXPECT_TRUE(holds_within(kMaxWait, [&] { return runs(waiting); }));
+}
+
 class OlderMachineListing : public testing::TestWithParam<std::uint64_t> {
  protected:
   SimulatedWorld world_{GetParam()};
@@ -242,6 +256,7 @@
       {"ShortOfAnyType", none(), occupant, in_zone(array(1, 10, 50), "b"), {}},
       {"LongOnDemand", none(), occupant, long_job, {}},
       {"LongSpot", none(), occupant, on_spot(long_job), {}},
+      {"LongSpotWithoutSpotMachines", none(), occupant, on_spot(long_job), no_spot},
       {"ShortArray", none(), occupant, on_large(in_zone(array(2, 10, 50), "b")), {}},
       {"Service", none(), occupant, occupant, {}},
   };
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -128,6 +128,8 @@
       const std::function<bool(const std::string& name, const std::string& zone)>& which,
       Duration time);
   void cloud_outage(Duration time);
+  /// Replaces Options::boot_failure_share for the machines launched from now on.
+  void set_boot_failure_share(double share) { options_.boot_failure_share = share; }
   void hang_random_machine(Duration time);
   /// Preempts a random spot machine, 5 s after a notice or without one.
   void reclaim_machine(bool notice);
