--- a/tests/cloud/scale_out_test.cpp
+++ b/tests/cloud/scale_out_test.cpp
@@ -43,7 +43,7 @@
 };
 
 /// The name of the case in the messages of failed tests.
-void PrintTo(const Case& test_case, std::ostream* out) { *out << test_case.name; }
+std::ostream& operator<<(std::ostream& out, const Case& test_case) { return out << test_case.name; }
 
 Shape service(std::uint32_t tasks, double cpus, const std::string& zone) {
   Shape out;
@@ -106,7 +106,7 @@
   }
   void TearDown() override { EXPECT_EQ(violations(cluster_.invariants()), ""); }
 
-  const Case& test_case() const { return std::get<0>(GetParam()); }
+  static const Case& test_case() { return std::get<0>(GetParam()); }
   wire::JobSpec spec_of(const Shape& shape) {
     auto spec = plain(cluster_, shape.service, shape.tasks, "red", shape.estimate_s, shape.cpus);
     spec.rank = wire::Rank::Standard;  // preempts no other task
