--- a/tests/simulation/scenarios.hpp
+++ b/tests/simulation/scenarios.hpp
@@ -50,7 +50,8 @@
 /// The invariants violated so far, for the message of a failed test; "" if none.
 inline std::string violations(const InvariantChecker& invariants) {
   std::string out;
-  for (const auto& [rule, what] : invariants.violations()) out.append(rule).append(": ").append(what).append("; ");
+  for (const auto& [rule, what] : invariants.violations())
+    out.append(rule).append(": ").append(what).append("; ");
   return out;
 }
 }  // namespace limemast::simulation
