Tests: one seed is one run on every kind of machine

Cause: several calls drew two random numbers within one argument list or one sum. C++ leaves the order open; g++ evaluates the arguments from the last to the first for x86-64 and from the first to the last for arm64 (seen with -fdump-tree-gimple of both compilers).

--- a/tests/bench/overload_bench.cpp
+++ b/tests/bench/overload_bench.cpp
@@ -99,9 +99,10 @@
     jobs.push_back(table.upsert(make_job(i, random)));
     for (auto& queue : queues) queue->add(jobs.back());
   }
-  for (auto _ : state)
-    table.set_remaining(jobs[random() % jobs.size()],
-                        static_cast<std::uint32_t>(random() % kMaxRemainingTasks));
+  for (auto _ : state) {
+    const auto remaining = static_cast<std::uint32_t>(random() % kMaxRemainingTasks);
+    table.set_remaining(jobs[random() % jobs.size()], remaining);
+  }
 }
 BENCHMARK(BM_UpdateRemainingTasks)->Arg(300)->Arg(1200)->Arg(1840)->Arg(5000);
 
--- a/tests/ci/lint_test.sh
+++ b/tests/ci/lint_test.sh
@@ -67,6 +67,22 @@
 make_tree
 expect "the clean tree passes" 0 "lint passed"
 
+cat >bench/draws.cpp <<'CODE'
+void submit(int job, bool cancel);
+int random_job();
+bool chance(double probability);
+int latency();
+void after(int delay);
+void run() {
+  const bool cancel = chance(0.5) && chance(0.1);
+  submit(random_job(), cancel);
+  submit(random_job(), chance(0.2));
+  after(latency() + (cancel ? random_job() : 0));
+}
+CODE
+expect "random draws in an order that is open" 1 "bench/draws.cpp:9: random numbers are drawn in several arguments" \
+  "bench/draws.cpp:10: random numbers are drawn in several operands" "lint FAILED: order of random draws"
+
 insert_code <<<'int  badly_formatted( int x ){return x;}'
 expect "badly formatted code" 1 "src/net/backoff.cpp:3:4: error: code should be clang-formatted" "lint FAILED: clang-format"
 
--- a/tests/compat/fault_day.cpp
+++ b/tests/compat/fault_day.cpp
@@ -96,7 +96,8 @@
                    method[0] == 'P' ? R"({"note":"test"})" : "");
       cluster_.run(1500ms);
     }
-  cluster_.query_status(any_job(), any_controller());
+  const auto controller = any_controller();
+  cluster_.query_status(any_job(), controller);
   cluster_.run(3s);
 }
 
@@ -295,12 +296,16 @@
       return cluster_.reject_at_store(any_controller(), duration);
     case 5:
       return cluster_.stall_watches(any_controller(), duration);
-    case 6:
-      return cluster_.cut(any_controller(), Side::State, chance(0.5), duration);
+    case 6: {
+      const bool hold = chance(0.5);
+      return cluster_.cut(any_controller(), Side::State, hold, duration);
+    }
     case 7:
       return cluster_.cloud_outage(duration);
-    default:
-      return cluster_.cut(any_controller(), Side::Cloud, chance(0.5), duration);
+    default: {
+      const bool hold = chance(0.5);
+      return cluster_.cut(any_controller(), Side::Cloud, hold, duration);
+    }
   }
 }
 
--- a/tests/fault_interactions/random_faults.hpp
+++ b/tests/fault_interactions/random_faults.hpp
@@ -65,8 +65,10 @@
         return cluster_.hang_random_machine(duration);
       case 16:
         return cluster_.delay_transactions(uniform(0.1, 0.6), duration, true);
-      case 17:
-        return cluster_.replay_heartbeats_at_next_leader(uniform(0.3, 1), seconds(uniform(20, 60)));
+      case 17: {
+        const auto replay_time = seconds(uniform(20, 60));
+        return cluster_.replay_heartbeats_at_next_leader(uniform(0.3, 1), replay_time);
+      }
       case 18: {
         const auto share = uniform(0.1, 0.5);
         return cluster_.block_heartbeats(
@@ -74,10 +76,11 @@
       }
       case 19:
         return cluster_.cancel_at_end(uniform(0.2, 0.8), duration);
-      case 20:
+      case 20: {
+        const auto hang_time = seconds(uniform(2, 15));
         return cluster_.hang_machines(
-            cluster_.machines_with(to_cancel[world_.below(to_cancel.size())]),
-            seconds(uniform(2, 15)));
+            cluster_.machines_with(to_cancel[world_.below(to_cancel.size())]), hang_time);
+      }
       case 21:
         for (std::size_t i = 0; i < 3; ++i)
           cluster_.delay_links(i, seconds(uniform(0.2, 1.5)), duration);
@@ -100,9 +103,9 @@
   /// the last fault all jobs must finish and all controllers must be up.
   void run_overlapping_faults(const Workload& workload) {
     for (int round = 0; round < 3; ++round) {
-      submit_arrays(workload.arrays,
-                    2 + static_cast<std::uint32_t>(world_.below(workload.array_size_choices)),
-                    uniform(8, 90));
+      const auto estimate_s = uniform(8, 90);
+      const auto tasks = 2 + static_cast<std::uint32_t>(world_.below(workload.array_size_choices));
+      submit_arrays(workload.arrays, tasks, estimate_s);
       auto to_cancel =
           submit_arrays(workload.arrays, workload.cancelled_array_tasks, uniform(30, 90));
       for (auto& uid : submit_services(workload.services, 3)) to_cancel.push_back(uid);
--- a/tests/fault_interactions/store_faults_test.cpp
+++ b/tests/fault_interactions/store_faults_test.cpp
@@ -50,7 +50,10 @@
           removed += misses_completions(bitmap->second, hex);
     }
     before = now;
-    if (i % 60 == 59) cluster_.crash(world_.below(3), seconds(uniform(0.02, 3)));
+    if (i % 60 == 59) {
+      const auto restart_after = seconds(uniform(0.02, 3));
+      cluster_.crash(world_.below(3), restart_after);
+    }
   }
   EXPECT_EQ(removed, 0u);
   EXPECT_LT(run_until(400s, [&] { return all_done(jobs); }), 400s);
@@ -73,8 +76,10 @@
     cluster_.run(seconds(uniform(3, 9)));
     cancel(to_cancel);
     cluster_.run(seconds(uniform(0.1, 3)));
-    if (round % 2)
-      cluster_.crash(world_.below(2) ? leader() : world_.below(3), seconds(uniform(0.02, 4)));
+    if (round % 2) {
+      const auto restart_after = seconds(uniform(0.02, 4));
+      cluster_.crash(world_.below(2) ? leader() : world_.below(3), restart_after);
+    }
     cluster_.run(seconds(uniform(3, 8)));
     ASSERT_EQ(violations(cluster_.invariants()), "");
   }
--- a/tests/fault_interactions/unreachable_machines_test.cpp
+++ b/tests/fault_interactions/unreachable_machines_test.cpp
@@ -72,7 +72,8 @@
     for (auto& uid : submit_arrays(3, 4, 20)) all.push_back(uid);
     const auto to_cancel = submit_services(2, 3);
     cluster_.run(seconds(uniform(0.5, 3)));
-    cluster_.cut(world_.below(3), Side::Workers, true, seconds(uniform(1, 30)));
+    const auto cut_time = seconds(uniform(1, 30));
+    cluster_.cut(world_.below(3), Side::Workers, true, cut_time);
     for (int i = 0; i < 4; ++i) cluster_.hang_random_machine(seconds(uniform(1, 30)));
     cluster_.run(seconds(uniform(1, 10)));
     for (const auto& uid : to_cancel) cluster_.cancel(uid);
--- a/tests/fault_interactions/user_requests_test.cpp
+++ b/tests/fault_interactions/user_requests_test.cpp
@@ -32,9 +32,11 @@
           cluster_.cut(controller, side, world_.chance(0.5), 18s);
         break;
       }
-      case 4:
-        cluster_.freeze(world_.below(3), seconds(uniform(1, 5)));
+      case 4: {
+        const auto freeze_time = seconds(uniform(1, 5));
+        cluster_.freeze(world_.below(3), freeze_time);
         break;
+      }
       default:
         break;
     }
@@ -58,9 +60,9 @@
   cluster_.query_concurrently(200s);
   std::vector<std::string> jobs;
   for (int i = 0; i < 40; ++i) {
-    for (auto& uid :
-         submit_arrays(1, 1 + static_cast<std::uint32_t>(world_.below(3)), uniform(2, 10)))
-      jobs.push_back(uid);
+    const auto estimate_s = uniform(2, 10);
+    const auto tasks = 1 + static_cast<std::uint32_t>(world_.below(3));
+    for (auto& uid : submit_arrays(1, tasks, estimate_s)) jobs.push_back(uid);
     cluster_.run(seconds(uniform(0.3, 1.5)));
     for (std::size_t controller = 0; controller < 3; ++controller)
       cluster_.query_status(jobs[world_.below(jobs.size())], controller),
@@ -180,7 +182,10 @@
     (i % 4 == 0 ? to_cancel : uncancelled).push_back(uid);
     if (i % 4 == 0) world_.after(seconds(uniform(0.05, 5)), [this, uid] { cluster_.cancel(uid); });
     cluster_.run(250ms);
-    if (i == 300) cluster_.crash(world_.below(3), seconds(uniform(0.02, 3)));
+    if (i == 300) {
+      const auto restart_after = seconds(uniform(0.02, 3));
+      cluster_.crash(world_.below(3), restart_after);
+    }
     ASSERT_EQ(violations(cluster_.invariants()), "");
   }
   EXPECT_LT(run_until(60s, [&] { return all_done(uncancelled); }), 60s);
--- a/tests/operator_api/drains_test.cpp
+++ b/tests/operator_api/drains_test.cpp
@@ -177,9 +177,8 @@
   cluster.run(30s);
   std::set<std::string> drained;
   auto ask = [&](const std::string& method, const std::string& id) {
-    cluster.ask(world.below(3),
-                {method, "/operator/v1/drains/" + id,
-                 method == "PUT" && world.chance(0.5) ? R"({"giveBack":true})" : ""},
+    const auto* body = method == "PUT" && world.chance(0.5) ? R"({"giveBack":true})" : "";
+    cluster.ask(world.below(3), {method, "/operator/v1/drains/" + id, body},
                 [](const net::HttpResponse&) {});
   };
   for (auto end = world.now() + 240s; world.now() < end;) {
--- a/tests/scheduling/probe_queue_test.cpp
+++ b/tests/scheduling/probe_queue_test.cpp
@@ -136,9 +136,10 @@
     for (std::size_t i = 0; i < count; ++i) {
       const auto uid = "wk-" + std::to_string(i);
       // There are only a few different estimates and needs, so that jobs often have equal work.
-      jobs[uid] = job(uid, static_cast<double>(1 + below(4) * 5),
-                      static_cast<std::uint32_t>(below(GetParam() % 2 ? 6 : 400)),
-                      static_cast<double>(1 + below(3)));
+      const auto cpus = static_cast<double>(1 + below(3));
+      const auto remaining = static_cast<std::uint32_t>(below(GetParam() % 2 ? 6 : 400));
+      const auto estimate = static_cast<double>(1 + below(4) * 5);
+      jobs[uid] = job(uid, estimate, remaining, cpus);
     }
   }
   std::uint64_t below(std::uint64_t bound) { return random() % bound; }
--- a/tests/simulation/injected_faults.cpp
+++ b/tests/simulation/injected_faults.cpp
@@ -263,9 +263,10 @@
       return freeze(node, seconds(world_.uniform(1, 40)));
     case 13:
       return drop_peer_messages_to(node, time);
-    case 14:
-      return cut_zone(settings_.zones[world_.below(settings_.zones.size())],
-                      seconds(world_.uniform(5, 40)));
+    case 14: {
+      const auto cut_time = seconds(world_.uniform(5, 40));
+      return cut_zone(settings_.zones[world_.below(settings_.zones.size())], cut_time);
+    }
     case 15:
       return kill_machines(1 + world_.below(5));
     case 16:  // links that fail and recover repeatedly
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -73,10 +73,10 @@
   }
   auto max_delay = n.max_link_delay;
   if (side == Side::State) max_delay += max_state_delay_;
-  world_.after(
-      latency() +
-          (max_delay > 0s ? seconds(world_.uniform(0, net::to_seconds(max_delay).count())) : 0s),
-      std::move(deliver));
+  auto delay = Duration::zero();
+  if (max_delay > 0s) delay = seconds(world_.uniform(0, net::to_seconds(max_delay).count()));
+  delay += latency();
+  world_.after(delay, std::move(deliver));
 }
 
 void SimulatedCluster::to_state(std::size_t node, const net::HttpRequest& request,
--- a/tests/simulation/simulated_users.cpp
+++ b/tests/simulation/simulated_users.cpp
@@ -39,7 +39,10 @@
 }
 
 void SimulatedCluster::submit_random_jobs() {
-  if (random_submissions_) submit(random_job(), world_.chance(0.25));
+  if (random_submissions_) {
+    const bool cancel_later = world_.chance(0.25);
+    submit(random_job(), cancel_later);
+  }
   world_.after(seconds(-options_.mean_submission_interval_s * std::log(world_.uniform(0.01, 1))),
                [this] { submit_random_jobs(); });
 }
