Tests: requests that were executed and answered arrive once more

Callers saw a task on two machines at once. The simulator's network only delayed, dropped and reordered requests, so no test could show it.

Change: the simulated network delivers a copy of a share of the requests that were executed and answered, 2 to 20 s later: direct commands to workers, requests to the store, to the cloud, and those of users. Its workers count attempts that are started twice in one incarnation, and all tests of fault interactions check that there are none.

--- a/tests/fault_interactions/fault_fixture.hpp
+++ b/tests/fault_interactions/fault_fixture.hpp
@@ -38,6 +38,7 @@
         static_cast<int>(net::to_seconds(cluster_.invariants().longest_after_cancel()).count() *
                          1000));
     EXPECT_EQ(violations(cluster_.invariants()), "");
+    EXPECT_EQ(cluster_.attempts_started_twice(), 0u);
     EXPECT_EQ(cluster_.state().unconditionally_written_keys(), std::set<std::string>());
   }
   /// Submits array jobs of `tasks` tasks each and returns their UIDs. Jobs whose `estimate_s`
@@ -67,6 +68,10 @@
     return std::all_of(uids.begin(), uids.end(),
                        [&](const auto& uid) { return cluster_.final_phase(uid) == "done"; });
   }
+  bool all_ended(const std::vector<std::string>& uids) const {
+    return std::none_of(uids.begin(), uids.end(),
+                        [&](const auto& uid) { return cluster_.final_phase(uid).empty(); });
+  }
   std::size_t leader() const { return cluster_.leader(); }
   void cancel(const std::vector<std::string>& jobs) {
     for (const auto& uid : jobs) cluster_.cancel(uid);
--- a/tests/fault_interactions/user_requests_test.cpp
+++ b/tests/fault_interactions/user_requests_test.cpp
@@ -45,8 +45,7 @@
     cluster_.run(seconds(uniform(4, 10)));
     ASSERT_EQ(violations(cluster_.invariants()), "");
   }
-  const auto has_ended = [&](const auto& uid) { return !cluster_.final_phase(uid).empty(); };
-  EXPECT_LT(run_until(150s, [&] { return std::all_of(all.begin(), all.end(), has_ended); }), 150s);
+  EXPECT_LT(run_until(150s, [&] { return all_ended(all); }), 150s);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ConcurrentStatusQueries, testing::Range<std::uint64_t>(1, 7));
--- a/tests/simulation/injected_faults.cpp
+++ b/tests/simulation/injected_faults.cpp
@@ -10,6 +10,10 @@
 namespace {
 // Time from the notice of a preemption to the end of the machine.
 constexpr auto kPreemptionNotice = 5s;
+// Time after which a copy of a request arrives once more.
+constexpr double kMinCopyDelayS = 2, kMaxCopyDelayS = 20;
+// How long users wait for the answer to a submission or cancellation.
+constexpr auto kUserRequestTimeout = 5s;
 }  // namespace
 
 void SimulatedCluster::delay_links(std::size_t node, Duration max_delay, Duration time) {
@@ -54,6 +58,57 @@
       });
 }
 
+void SimulatedCluster::duplicate_requests_late(Side receiver, double share, Duration time) {
+  duplicated_request_share_[receiver] = share;
+  world_.after(time, [this, receiver] { duplicated_request_share_.erase(receiver); });
+}
+
+void SimulatedCluster::duplicate_user_requests_late(double share, Duration time) {
+  duplicated_user_request_share_ = share;
+  world_.after(time, [this] { duplicated_user_request_share_ = 0; });
+}
+
+void SimulatedCluster::duplicate_late(Side receiver, const net::Endpoint& to,
+                                      const net::HttpRequest& request) {
+  const auto share = duplicated_request_share_.find(receiver);
+  if (share == duplicated_request_share_.end() || !world_.chance(share->second)) return;
+  world_.after(seconds(world_.uniform(kMinCopyDelayS, kMaxCopyDelayS)),
+               [this, receiver, to, request] { deliver_duplicate(receiver, to, request); });
+}
+
+void SimulatedCluster::deliver_duplicate(Side receiver, const net::Endpoint& to,
+                                         const net::HttpRequest& request) {
+  ++duplicates_delivered_;
+  const auto drop_answer = [](const net::HttpResult&) {};
+  if (receiver == Side::State) return state_.handle(request, drop_answer);
+  if (receiver == Side::Workers)
+    return handle_direct_commands(to.substr(0, to.find(':')), request, drop_answer);
+  const auto launched = workers_.size();
+  const auto terminated = terminated_machines().size();
+  handle_cloud_request(request, drop_answer);
+  if (workers_.size() != launched || terminated_machines().size() != terminated)
+    ++cloud_duplicates_with_effect_;
+}
+
+void SimulatedCluster::exhaust_fencing_tokens() {
+  for (auto& [name, w] : workers_) {
+    const auto epoch = ids::FencingToken(w.fencing_token).epoch();
+    if (epoch == ids::kNoEpoch) continue;
+    w.fencing_token = ids::FencingToken::base(ids::EpochNumber(epoch.value() + 1)).value() - 1;
+  }
+}
+
+void SimulatedCluster::duplicate_user_request_late(const net::HttpRequest& request) {
+  if (request.method == "GET" || duplicated_user_request_share_ == 0 ||
+      !world_.chance(duplicated_user_request_share_))
+    return;
+  const auto to = world_.below(nodes_.size());
+  world_.after(seconds(world_.uniform(kMinCopyDelayS, kMaxCopyDelayS)), [this, to, request] {
+    ++duplicates_delivered_;
+    to_controller(to, Side::Cloud, request, kUserRequestTimeout, [](const net::HttpResult&) {});
+  });
+}
+
 void SimulatedCluster::block_heartbeats(
     const std::function<bool(const std::string&, const std::string&)>& which, Duration time) {
   for (auto& [name, w] : workers_) {
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -79,6 +79,19 @@
   world_.after(delay, std::move(deliver));
 }
 
+void SimulatedCluster::handle_controller_request(std::size_t node, Side receiver,
+                                                 const net::Endpoint& to,
+                                                 const net::HttpRequest& request,
+                                                 const StateService::Answer& answer) {
+  const auto duplicate_and_answer = [this, receiver, to, request, answer](net::HttpResult r) {
+    if (r.status == 200 && request.method != "GET") duplicate_late(receiver, to, request);
+    answer(std::move(r));
+  };
+  if (receiver == Side::State) return to_state(node, request, duplicate_and_answer);
+  if (receiver == Side::Cloud) return handle_cloud_request(request, duplicate_and_answer);
+  handle_direct_commands(to.substr(0, to.find(':')), request, duplicate_and_answer);
+}
+
 void SimulatedCluster::to_state(std::size_t node, const net::HttpRequest& request,
                                 const StateService::Answer& answer) {
   if (nodes_[node].rejected_by_store > 0) return answer({503, true, "{}"});
@@ -212,7 +225,9 @@
       if (!n.controller) return;
       n.controller->serve(request, [this, node, side, request, finish, zone](net::HttpResponse r) {
         observe(node, side == Side::Workers ? kWorker : kUser, &request, &r, nullptr);
-        send_unless_frozen(node, [this, node, side, finish, zone, r] {
+        send_unless_frozen(node, [this, node, side, request, finish, zone, r] {
+          if (side != Side::Workers && (r.status == 200 || r.status == 201))
+            duplicate_user_request_late(request);
           auto back = [this, finish, r] {
             retry_after_ = seconds(r.retry_after_s);
             finish({r.status, true, r.body});
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -107,6 +107,21 @@
   /// For this share of the heartbeats a copy reaches a random controller between 2 s and 1.6 worker
   /// leases later. The answer to the copy is lost.
   void duplicate_heartbeats_late(double share, Duration time);
+  /// For this share of the controllers' requests to `receiver` that are executed and answered, a
+  /// copy arrives between 2 and 20 s later and is handled like any other request. Its answer is
+  /// lost. Requests that only read are not copied.
+  void duplicate_requests_late(Side receiver, double share, Duration time);
+  /// Likewise for submissions and cancellations of users. The copy reaches a random controller.
+  void duplicate_user_requests_late(double share, Duration time);
+  /// Copies that have arrived because of duplicate_requests_late or duplicate_user_requests_late.
+  std::size_t duplicates_delivered() const { return duplicates_delivered_; }
+  /// Copies of requests to the cloud that launched or terminated a machine.
+  std::size_t cloud_duplicates_with_effect() const { return cloud_duplicates_with_effect_; }
+  /// Raises each machine's fencing token to the last one of its epoch.
+  void exhaust_fencing_tokens();
+  /// How often a worker executed a Start command of an attempt that it had executed before in the
+  /// same incarnation. Each attempt may be started only once.
+  std::size_t attempts_started_twice() const { return attempts_started_twice_; }
   /// Copies this share of the heartbeats and keeps each machine's oldest copy since the last change
   /// of leader. The copies reach every controller when another one becomes leader.
   void replay_heartbeats_at_next_leader(double share, Duration time);
@@ -224,6 +239,8 @@
     std::uint64_t heartbeat_in_flight = 0;
     std::optional<double> preemption_notice;
     std::vector<Task> tasks;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint64_t>>
+        started_attempts;  ///< in this incarnation
     std::set<std::string> images;
     std::deque<std::function<void()>> while_hung;
     Time launched_at{};
@@ -274,6 +291,13 @@
   Duration latency() { return seconds(world_.uniform(0.001, 0.01)); }
   void to_state(std::size_t node, const net::HttpRequest& request,
                 const StateService::Answer& answer);
+  void handle_controller_request(std::size_t node, Side receiver, const net::Endpoint& to,
+                                 const net::HttpRequest& request,
+                                 const StateService::Answer& answer);
+  /// Called when the request was executed: delivers a copy of it later if the fault chooses it.
+  void duplicate_late(Side receiver, const net::Endpoint& to, const net::HttpRequest& request);
+  void deliver_duplicate(Side receiver, const net::Endpoint& to, const net::HttpRequest& request);
+  void duplicate_user_request_late(const net::HttpRequest& request);
   void release_watches(std::size_t node);
   void retry_with_next_controller(Worker& w);
   void to_controller(std::size_t node, Side side, const net::HttpRequest& request, Duration timeout,
@@ -331,6 +355,10 @@
   Duration max_state_delay_{};
   double delayed_transaction_share_ = 0, duplicated_heartbeat_share_ = 0,
          lost_transaction_answer_share_ = 0, replayed_heartbeat_share_ = 0;
+  std::map<Side, double> duplicated_request_share_;  ///< by receiver
+  double duplicated_user_request_share_ = 0;
+  std::size_t duplicates_delivered_ = 0, cloud_duplicates_with_effect_ = 0,
+              attempts_started_twice_ = 0;
   struct SavedHeartbeat {
     net::HttpRequest request;
     std::string zone;
--- a/tests/simulation/simulated_runtime.hpp
+++ b/tests/simulation/simulated_runtime.hpp
@@ -56,9 +56,7 @@
       c.send_over_link(
           node, side,
           [&c, to, request, side, answer, node] {
-            if (side == Side::State) return c.to_state(node, request, answer);
-            if (side == Side::Cloud) return c.handle_cloud_request(request, answer);
-            c.handle_direct_commands(to.substr(0, to.find(':')), request, answer);
+            c.handle_controller_request(node, side, to, request, answer);
           },
           zone);
     });
--- a/tests/simulation/simulated_workers.cpp
+++ b/tests/simulation/simulated_workers.cpp
@@ -31,6 +31,7 @@
       world_.now() - w.last_acknowledged_at <= net::to_duration(settings_.worker_lease))
     return;
   drop_all_tasks(w);
+  w.started_attempts.clear();
   ++w.incarnation;
   w.last_acknowledged_at = world_.now();
 }
@@ -229,6 +230,8 @@
       end_task(w, *it, wire::ExitCause::Stopped);
     } else if (it == w.tasks.end()) {
       invariants_.ordered(command.uid);
+      if (!w.started_attempts.emplace(command.uid, command.index, command.attempt).second)
+        ++attempts_started_twice_;
       Task t;
       t.uid = command.uid;
       t.index = command.index;
