Model: a forgotten attempt and a copy of its executed start

The model of task ownership had neither a forget nor a copy of a command that was carried out, so it could not contain the incident. It has both now, and tokens that end with the last one of an epoch.

A forget that keeps the token gives ran_twice: start, exit, heartbeat, start elsewhere, forget, copy of the start - the order of the incident's records. A direct start with the last token of the epoch gives it too.

--- a/tests/model/task_ownership_model.cpp
+++ b/tests/model/task_ownership_model.cpp
@@ -8,6 +8,8 @@
 constexpr std::uint8_t kCancelTicks = 5;  ///< both leases and a margin of one tick
 constexpr std::uint8_t kMaxAge = 9;       ///< ticks
 constexpr std::uint8_t kMaxTasks = 3, kMaxRevision = 4;
+constexpr std::uint8_t kLastToken = 2;  ///< of the epoch
+constexpr int kParts = 4;
 
 std::string key_of(const State& state) {
   std::string key;
@@ -39,24 +41,30 @@
                          unsigned{state.new_attempt_running},
                          unsigned{state.machine_saw_epoch},
                          unsigned{state.n_knows_machine},
-                         unsigned{state.n_found_attempt}})
+                         unsigned{state.n_found_attempt},
+                         static_cast<unsigned>(state.attempt),
+                         unsigned{state.machine_token},
+                         unsigned{state.shown_token},
+                         unsigned{state.exit_shown},
+                         unsigned{state.start_token},
+                         unsigned{state.copy_in_flight},
+                         unsigned{state.forget_in_flight},
+                         unsigned{state.forget_token},
+                         unsigned{state.started_elsewhere}})
     key.push_back(static_cast<char>(value));
   return key;
 }
 
 class Steps {
  public:
-  Steps(const Variant& variant, bool cancellation, bool progress_writes, bool takeover)
-      : variant_(variant),
-        cancellation_(cancellation),
-        progress_writes_(progress_writes),
-        takeover_(takeover) {}
+  Steps(const Variant& variant, int part) : variant_(variant), part_(part) {}
   template <class Emit>
   void from(const State& state, const Emit& emit) const {
-    // Each part is searched by itself, as the three share no state.
-    if (cancellation_) simulate_cancellation(state, emit);
-    if (progress_writes_) simulate_progress_writes(state, emit);
-    if (takeover_) simulate_takeover(state, emit);
+    // Each part is searched by itself, as the parts share no state.
+    if (part_ == 0) simulate_cancellation(state, emit);
+    if (part_ == 1) simulate_progress_writes(state, emit);
+    if (part_ == 2) simulate_takeover(state, emit);
+    if (part_ == 3) simulate_repeated_start(state, emit);
   }
 
  private:
@@ -166,8 +174,53 @@
       step(state, emit, "N starts the task elsewhere",
            [](State& next) { next.new_attempt_running = true; });
   }
+
+  template <class Emit>
+  void simulate_repeated_start(const State& state, const Emit& emit) const {
+    if (state.machine_token < kLastToken)
+      step(state, emit, "a command for another task raises the token",
+           [](State& next) { ++next.machine_token; });
+    const bool may_start = state.machine_token < kLastToken || !variant_.last_token_starts_nothing;
+    if (state.attempt == AttemptState::NotStarted && may_start)
+      step(state, emit, "the machine executes the direct start", [](State& next) {
+        next.attempt = AttemptState::Running;
+        next.start_token = next.machine_token;
+        next.copy_in_flight = true;
+      });
+    if (state.attempt == AttemptState::Running)
+      step(state, emit, "the attempt exits",
+           [](State& next) { next.attempt = AttemptState::Exited; });
+    step(state, emit, "the machine sends a heartbeat", [](State& next) {
+      next.shown_token = next.machine_token;
+      if (next.attempt == AttemptState::Exited) next.exit_shown = true;
+    });
+    if (state.exit_shown && !state.started_elsewhere)
+      step(state, emit, "the owner starts the task elsewhere",
+           [](State& next) { next.started_elsewhere = true; });
+    // The controller to which the machine is attached may not know who sent the start.
+    if (state.exit_shown && !state.forget_in_flight)
+      step(state, emit, "the controller sends a forget", [&](State& next) {
+        next.forget_in_flight = true;
+        next.forget_token = next.shown_token;
+        if (variant_.forget_raises_token)
+          next.forget_token = std::min<std::uint8_t>(kLastToken, next.shown_token + 1);
+      });
+    if (state.forget_in_flight)
+      step(state, emit, "the forget arrives", [](State& next) {
+        next.forget_in_flight = false;
+        if (next.forget_token < next.machine_token) return;
+        next.machine_token = next.forget_token;
+        if (next.attempt == AttemptState::Exited) next.attempt = AttemptState::Forgotten;
+      });
+    if (state.copy_in_flight)
+      step(state, emit, "the copy of the start arrives", [](State& next) {
+        next.copy_in_flight = false;
+        if (next.start_token < next.machine_token) return;
+        if (next.attempt == AttemptState::Forgotten) next.attempt = AttemptState::Running;
+      });
+  }
   Variant variant_;
-  bool cancellation_, progress_writes_, takeover_;
+  int part_;
 };
 
 std::string rule_violated(const State& state) {
@@ -176,15 +229,16 @@
     return "ran_after_notice";
   if (state.cleared_tasks > state.recorded_tasks) return "cleared_but_unrecorded";
   if (state.old_attempt_running && state.new_attempt_running) return "ran_twice";
+  if (state.attempt == AttemptState::Running && state.started_elsewhere) return "ran_twice";
   return {};
 }
 }  // namespace
 
 Outcome search(const Variant& variant, std::size_t max_depth) {
   Outcome all;
-  for (int part = 0; part < 3 && all.violation.empty(); ++part) {
+  for (int part = 0; part < kParts && all.violation.empty(); ++part) {
     Outcome out;
-    const Steps steps(variant, part == 0, part == 1, part == 2);
+    const Steps steps(variant, part);
     explore(
         State{}, max_depth, key_of,
         [&](const State& state, const auto& emit) { steps.from(state, emit); }, rule_violated, out);
--- a/tests/model/task_ownership_model.hpp
+++ b/tests/model/task_ownership_model.hpp
@@ -6,15 +6,20 @@
 
 namespace limemast::model::task_ownership {
 /// A model of task ownership under faults other than evictions, which model.hpp covers. It has
-/// three independent parts:
+/// four independent parts:
 /// - Controller R keeps the lease of a machine. The key-value store may reject R, R's watch may
 ///   stall and R's links may be cut, while another controller confirms the end of the job that
 ///   runs on the machine.
 /// - R records progress by transactions that may be applied late.
 /// - Controller N has just taken over a task and may receive a heartbeat that is older than the
 ///   takeover.
+/// - The machine executes a direct start, whose copy arrives later. Meanwhile the attempt ends, is
+///   forgotten, and the task is started elsewhere.
 /// Time advances in ticks. The ratios of controller lease, machine lease and cancel_s are as in the
 /// real settings.
+/// An attempt as its machine knows it.
+enum class AttemptState : std::uint8_t { NotStarted, Running, Exited, Forgotten };
+
 struct State {
   // The job that has a task on R's machine.
   bool end_committed = false;      ///< the store holds the end of the job
@@ -43,6 +48,17 @@
   bool machine_saw_epoch = false;  ///< the machine has reported under N's epoch
   bool n_knows_machine = false;    ///< N considers the machine's tasks known
   bool n_found_attempt = false;    ///< N knows that the machine runs the task
+  // An attempt that was started by a direct request, of which a copy may arrive. Tokens count from
+  // the first one of the epoch.
+  AttemptState attempt = AttemptState::NotStarted;
+  std::uint8_t machine_token = 0;  ///< the highest token that the machine has seen
+  std::uint8_t shown_token = 0;    ///< the machine's token in its last heartbeat
+  bool exit_shown = false;         ///< a heartbeat has shown the attempt as exited
+  std::uint8_t start_token = 0;    ///< token of the direct start
+  bool copy_in_flight = false;     ///< the copy of the start has not arrived yet
+  bool forget_in_flight = false;
+  std::uint8_t forget_token = 0;
+  bool started_elsewhere = false;  ///< the owner has started the task on another machine
 
   bool operator==(const State&) const = default;
 };
@@ -57,6 +73,10 @@
       true;  ///< a peer's notice ends a job, also while the store rejects the receiver
   bool authority_bound_by_watch =
       true;  ///< authority expires with the watch cache's freshness as well as with the lease
+  bool forget_raises_token =
+      true;  ///< a forget has a higher token than the heartbeat that shows the exited attempt
+  bool last_token_starts_nothing =
+      true;  ///< no direct start has the last token of the epoch, above which there is none
 };
 Outcome search(const Variant& variant, std::size_t max_depth);
 }  // namespace limemast::model::task_ownership
--- a/tests/model/task_ownership_model_test.cpp
+++ b/tests/model/task_ownership_model_test.cpp
@@ -37,5 +37,13 @@
   EXPECT_TRUE(check("authority bound by renewals alone", {.authority_bound_by_watch = false})
                   .violation.starts_with("ran_cancelled"));
 }
+TEST(TaskOwnershipModel, FindsRepeatedStartOfAttemptForgottenWithoutRaisingTheToken) {
+  EXPECT_TRUE(check("forget keeps the token", {.forget_raises_token = false})
+                  .violation.starts_with("ran_twice"));
+}
+TEST(TaskOwnershipModel, FindsRepeatedStartThatHadTheLastTokenOfItsEpoch) {
+  EXPECT_TRUE(check("last token starts tasks", {.last_token_starts_nothing = false})
+                  .violation.starts_with("ran_twice"));
+}
 }  // namespace
 }  // namespace limemast::model::task_ownership
