Fencing tokens: the last token of an epoch is its own successor

After 65,535 raises for one machine within an epoch the next token was the first one of the next epoch's number. The worker took it over, every controller refused its heartbeats as those of an epoch not read yet, and the machine lost its lease with all tasks. Had that epoch been written meanwhile, commands of a deposed controller would have been valid in it. With a raise for every forget, a machine of short tasks reaches the number in nine hours without a change of members.

Cause: FencingToken::next() added one to the number without regard to the bits that hold the epoch.

Change: next() of the last token of an epoch is that token. No direct request with starts is sent with it, since no token of the epoch could outdate the starts; they go in the responses to heartbeats, which a worker drops when they are late. So a forget with the last token is still above every direct start. A new epoch ends this state.

--- a/src/ids/fencing.hpp
+++ b/src/ids/fencing.hpp
@@ -22,13 +22,18 @@
     return FencingToken(epoch.value() << kPerMachineBits);
   }
   constexpr EpochNumber epoch() const { return EpochNumber(value_ >> kPerMachineBits); }
-  /// Returns the lowest token above this one.
-  constexpr FencingToken next() const { return FencingToken(value_ + 1); }
+  /// Returns the next token of the same epoch. The last token of an epoch is its own successor, so
+  /// that the tokens of one epoch never reach those of the next.
+  constexpr FencingToken next() const {
+    return is_last_of_epoch() ? *this : FencingToken(value_ + 1);
+  }
+  constexpr bool is_last_of_epoch() const { return (value_ & kPerMachineMask) == kPerMachineMask; }
   constexpr std::uint64_t value() const { return value_; }
   constexpr auto operator<=>(const FencingToken&) const = default;
 
  private:
   static constexpr unsigned kPerMachineBits = 16;
+  static constexpr std::uint64_t kPerMachineMask = (std::uint64_t{1} << kPerMachineBits) - 1;
   std::uint64_t value_ = 0;
 };
 /// Token of a worker that has not received a command from any controller.
--- a/src/machines/direct_command_sender.cpp
+++ b/src/machines/direct_command_sender.cpp
@@ -81,8 +81,10 @@
   const bool has_recent_heartbeat =
       context_.runtime.now() - status->last_heartbeat <= max_silence + kMaxSilenceMargin;
   const auto token = attached_.token_for_pending_commands(entry, *status);
+  // No later token of the epoch could outdate a start that is sent with the last one.
+  const bool with_starts = has_recent_heartbeat && !token.is_last_of_epoch();
   const auto commands =
-      entry.commands.take_for_request(status->heartbeat.incarnation, token, has_recent_heartbeat);
+      entry.commands.take_for_request(status->heartbeat.incarnation, token, with_starts);
   const auto epoch_token = ids::FencingToken::base(context_.membership.epoch().number);
   const bool announce = has_recent_heartbeat &&
                         std::exchange(entry.direct.token_requested, false) &&
