Machines: log lines and metrics of what is sent to workers and why

Cause: the records of the incident could not tell who owned the job, by which way the forget left, why the token had been raised before and why the epochs were written; they had to be inferred from token values.

Change, behaviour untouched: - info: why the leader writes an epoch, the first token of each epoch, and an attempt that a machine shows although its controller had forgotten it or did not start it there, with the last commands for it and how each was answered (once for each attempt, rate-limited); - debug: each start, stop and forget with route, token, incarnation, owner and rule; each raise of a token with its reason; deferred forgets; reads of the store with revision and age; - metrics: limemast_commands_total, limemast_fencing_token_raises_total, limemast_attempts_reappeared_total, limemast_forget_deferral_seconds.

Checked: CommandMonitorTest.*, in which machines lose their token, so that copies of starts are executed and must be reported.

--- a/src/app/controller_instance.cpp
+++ b/src/app/controller_instance.cpp
@@ -32,7 +32,7 @@
       capacity_diagnosis_(settings, job_directory_, registry_),
       worker_gateway_(
           {runtime, settings, client_, membership_, message_bus_, job_directory_, registry_},
-          [this](const std::string& machine) { job_owner_.on_heartbeat(machine); }),
+          [this](const std::string& machine) { job_owner_.on_heartbeat(machine); }, metrics),
       completion_broadcast_(runtime, settings, membership_, message_bus_,
                             [this](const std::string& uid, const jobs::Status& end) {
                               const bool first_notice =
--- a/src/cluster/leader_election.cpp
+++ b/src/cluster/leader_election.cpp
@@ -1,5 +1,10 @@
 #include "cluster/leader_election.hpp"
 
+#include <algorithm>
+#include <iterator>
+
+#include <spdlog/spdlog.h>
+
 #include "cluster/keys.hpp"
 
 namespace limemast::cluster {
@@ -10,6 +15,36 @@
 store::Revision revision_of(const store::Entry* entry) {
   return entry ? entry->mod_revision : store::kAbsent;
 }
+
+std::string join(const std::set<ControllerId>& controllers) {
+  std::string out;
+  for (const auto& controller : controllers)
+    out += (out.empty() ? "" : " ") + fmt::format("{}", controller);
+  return out;
+}
+
+/// The controllers in `left` that are not in `right`.
+std::set<ControllerId> difference(const std::set<ControllerId>& left,
+                                  const std::set<ControllerId>& right) {
+  std::set<ControllerId> out;
+  std::set_difference(left.begin(), left.end(), right.begin(), right.end(),
+                      std::inserter(out, out.end()));
+  return out;
+}
+
+/// Why an epoch with these members must follow `current`.
+std::string reason_for_epoch(const MembershipEpoch& current, bool readable,
+                             const ControllerId& leader, const std::set<ControllerId>& members) {
+  std::string reason;
+  const auto add = [&](const std::string& part) { reason += (reason.empty() ? "" : ", ") + part; };
+  if (!readable) add("previous record not readable");
+  if (current.leader != leader) add(fmt::format("{} took over as leader", leader));
+  if (const auto joined = difference(members, current.members); !joined.empty())
+    add(join(joined) + " joined");
+  if (const auto lost = difference(current.members, members); !lost.empty())
+    add(join(lost) + " lost");
+  return reason;
+}
 }  // namespace
 
 LeaderElection::LeaderElection(net::Runtime& runtime, const wire::Settings& settings,
@@ -99,7 +134,16 @@
   if (proposal.wait) return;
   const bool in_force = epoch_.readable() && current.leader == lease_keeper_.self() &&
                         current.members == proposal.members;
-  if (!in_force) write_epoch(proposal.members);
+  if (in_force) return;
+  log_reason(reason_for_epoch(current, epoch_.readable(), lease_keeper_.self(), proposal.members));
+  write_epoch(proposal.members);
+}
+
+void LeaderElection::log_reason(const std::string& reason) {
+  const auto after = epoch_.epoch().number;
+  if (logged_reason_ == std::pair(after, reason)) return;
+  logged_reason_ = {after, reason};
+  spdlog::info("writing the membership epoch after {}: {}", after, reason);
 }
 
 void LeaderElection::reconsider_at(net::Time at, net::Time now) {
--- a/src/cluster/leader_election.hpp
+++ b/src/cluster/leader_election.hpp
@@ -32,6 +32,8 @@
   void campaign(const store::Entry* leader_key);
   void propose_epoch();
   void write_epoch(const std::set<ControllerId>& members);
+  /// Logs why the next epoch is written, once for each epoch and reason.
+  void log_reason(const std::string& reason);
   void reconsider_at(net::Time at, net::Time now);
 
   net::Runtime& runtime_;
@@ -43,6 +45,7 @@
   RejoinBackoff rejoin_backoff_;
   net::Time elected_at_{};     ///< start of this controller's term; Time{} if it does not lead
   net::Time reconsider_at_{};  ///< next scheduled advance(); Time{} if none
+  std::pair<ids::EpochNumber, std::string> logged_reason_;
   bool leader_readable_ = true;
   bool campaign_in_flight_ = false;
   bool epoch_write_in_flight_ = false;
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -96,8 +96,8 @@
 void Membership::on_epoch_advanced(const ControllerId& previous_leader) {
   if (!self().empty() && is_member(self()))
     timeline_.record_phase(StartupPhase::Member, runtime_.now());
-  spdlog::info("membership epoch {}: leader {}, {} members", epoch().number, epoch().leader,
-               epoch().members.size());
+  spdlog::info("membership epoch {}: leader {}, {} members, first fencing token {}", epoch().number,
+               epoch().leader, epoch().members.size(), ids::FencingToken::base(epoch().number));
   // Another controller became leader while this one was running, because this lease ended or the
   // leader key was lost. The new leader owns the jobs that this controller remembers as its own, so
   // it restarts as a new incarnation.
--- a/src/machines/attached_machines.cpp
+++ b/src/machines/attached_machines.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 
+#include "machines/command_monitor.hpp"
 #include "messages/machines.hpp"
 
 namespace limemast::machines {
-AttachedMachines::AttachedMachines(const GatewayContext& context) : context_(context) {
+AttachedMachines::AttachedMachines(const GatewayContext& context, CommandMonitor& monitor)
+    : context_(context), monitor_(monitor) {
   context_.message_bus.on<messages::RaiseFencingToken>(
       [this](const cluster::ControllerId&, const messages::RaiseFencingToken& message) {
         if (is_attached(message.machine))
@@ -42,9 +44,10 @@
 }
 
 ids::FencingToken AttachedMachines::token_for_pending_commands(AttachedMachine& machine,
-                                                               const MachineStatus& status) const {
-  if (machine.commands.has_pending_forget())
-    machine.token_floor.raise(status.heartbeat.fencing_token.next());
+                                                               const MachineStatus& status) {
+  const auto above_shown = status.heartbeat.fencing_token.next();
+  if (machine.commands.has_pending_forget() && machine.token_floor.raise(above_shown))
+    monitor_.on_token_raised(status.heartbeat.machine, above_shown, TokenRaiseReason::Forget);
   return command_token(machine, status);
 }
 
--- a/src/machines/attached_machines.hpp
+++ b/src/machines/attached_machines.hpp
@@ -9,12 +9,18 @@
 #include "net/runtime.hpp"
 
 namespace limemast::machines {
+class CommandMonitor;
+
 /// The lowest fencing tokens that are valid for one machine. A worker rejects commands with a lower
 /// token than the highest that it has seen, so raising the token invalidates commands in flight.
 class FencingTokenFloor {
  public:
-  /// Commands must carry at least `token` from now on.
-  void raise(ids::FencingToken token) { command_floor_ = std::max(command_floor_, token); }
+  /// Commands must carry at least `token` from now on. Returns whether this raised the floor.
+  bool raise(ids::FencingToken token) {
+    const bool raised = token > command_floor_;
+    command_floor_ = std::max(command_floor_, token);
+    return raised;
+  }
   /// Raises the floor because another controller may have commands below `token` in flight. Until a
   /// heartbeat shows `token`, no attempt may be forgotten: a late start of it would run it again.
   void supersede(ids::FencingToken token) {
@@ -77,7 +83,7 @@
   using Table = std::unordered_map<std::string, AttachedMachine>;
 
   /// Registers the handler of `RaiseFencingToken`.
-  explicit AttachedMachines(const GatewayContext& context);
+  AttachedMachines(const GatewayContext& context, CommandMonitor& monitor);
 
   /// nullptr if there is no entry.
   AttachedMachine* find(const std::string& machine);
@@ -98,13 +104,14 @@
   /// it is above every token that the machine has shown, and so above that of each start of a
   /// forgotten attempt: a copy of the start is rejected (docs/design.md, "A task runs once").
   ids::FencingToken token_for_pending_commands(AttachedMachine& machine,
-                                               const MachineStatus& status) const;
+                                               const MachineStatus& status);
   /// Sends the machine's token floor to the other controllers: the one that the machine attaches to
   /// next must not send commands below it.
   void broadcast_token_floor(const std::string& machine);
 
  private:
   GatewayContext context_;
+  CommandMonitor& monitor_;
   Table machines_;
 };
 }  // namespace limemast::machines
--- a/src/machines/command_dispatcher.cpp
+++ b/src/machines/command_dispatcher.cpp
@@ -10,14 +10,15 @@
 CommandDispatcher::CommandDispatcher(const GatewayContext& context, AttachedMachines& attached,
                                      ProbeService& probes, StartResolver& starts,
                                      DirectCommandSender& direct, HeartbeatResponder& responder,
-                                     UnknownJobLookup& unknown_jobs)
+                                     UnknownJobLookup& unknown_jobs, CommandMonitor& monitor)
     : context_(context),
       attached_(attached),
       probes_(probes),
       starts_(starts),
       direct_(direct),
       responder_(responder),
-      unknown_jobs_(unknown_jobs) {
+      unknown_jobs_(unknown_jobs),
+      monitor_(monitor) {
   using cluster::ControllerId;
   context_.message_bus.on<messages::StartTask>(
       [this](const ControllerId& from, const auto& message) { on_start_task(from, message); });
@@ -104,9 +105,12 @@
 }
 
 bool CommandDispatcher::may_forget(const AttachedMachine& entry, const MachineStatus& status,
-                                   const wire::Command& command) {
+                                   const wire::Command& command) const {
   // A start that arrives after the forget would run the attempt again, so none may be in flight.
-  return entry.token_floor.allows_forget(status.heartbeat) && !entry.commands.has_start(command);
+  const bool allowed =
+      entry.token_floor.allows_forget(status.heartbeat) && !entry.commands.has_start(command);
+  monitor_.on_forget_requested(status.heartbeat.machine, TaskAttempt::of(command), allowed);
+  return allowed;
 }
 
 void CommandDispatcher::clean_up_ended_jobs(AttachedMachine& entry, const MachineStatus& status) {
--- a/src/machines/command_dispatcher.hpp
+++ b/src/machines/command_dispatcher.hpp
@@ -10,7 +10,8 @@
   /// Registers the handlers of `StartTask` and `CommandWorker`.
   CommandDispatcher(const GatewayContext& context, AttachedMachines& attached, ProbeService& probes,
                     StartResolver& starts, DirectCommandSender& direct,
-                    HeartbeatResponder& responder, UnknownJobLookup& unknown_jobs);
+                    HeartbeatResponder& responder, UnknownJobLookup& unknown_jobs,
+                    CommandMonitor& monitor);
 
   /// Queues stops and forgets for the tasks of ended jobs in the machine's newest heartbeat. This
   /// does not involve the job's owner, so cancellation works even if this controller is cut off
@@ -32,8 +33,8 @@
   /// stops queued before it.
   bool may_start(const messages::StartTask& message, const Resources& evicted) const;
   /// Whether the machine may forget the attempt, because no start of it can arrive later.
-  static bool may_forget(const AttachedMachine& entry, const MachineStatus& status,
-                         const wire::Command& command);
+  bool may_forget(const AttachedMachine& entry, const MachineStatus& status,
+                  const wire::Command& command) const;
   /// The evictions in the message whose task is live on the machine. Adds the resources that they
   /// free to `freed`.
   std::vector<wire::Command> live_evictions(const messages::StartTask& message,
@@ -51,5 +52,6 @@
   DirectCommandSender& direct_;
   HeartbeatResponder& responder_;
   UnknownJobLookup& unknown_jobs_;
+  CommandMonitor& monitor_;
 };
 }  // namespace limemast::machines
--- a/src/machines/direct_command_sender.cpp
+++ b/src/machines/direct_command_sender.cpp
@@ -30,15 +30,21 @@
   const bool not_sent = result.status == 0 && !result.maybe_sent;
   return not_sent || result.status == kTokenOrIncarnationRejected || result.status == kMalformed;
 }
+
+CommandOutcome outcome_of(const net::HttpResult& result) {
+  if (result.status == kExecuted) return CommandOutcome::Executed;
+  return never_executed(result) ? CommandOutcome::Rejected : CommandOutcome::Unanswered;
+}
 }  // namespace
 
 DirectCommandSender::DirectCommandSender(const GatewayContext& context, AttachedMachines& attached,
                                          StartResolver& starts, ProbeService& probes,
-                                         OnResponse on_response)
+                                         CommandMonitor& monitor, OnResponse on_response)
     : context_(context),
       attached_(attached),
       starts_(starts),
       probes_(probes),
+      monitor_(monitor),
       on_response_(std::move(on_response)) {}
 
 void DirectCommandSender::send_soon(const std::string& machine) {
@@ -91,18 +97,17 @@
                         status->heartbeat.fencing_token < epoch_token;
   if (commands.empty() && !announce) return;
   entry.direct.in_flight = true;
-  post(machine, *status, token, commands);
+  const SentCommands sent{machine, DeliveryRoute::Direct, token, status->heartbeat.incarnation,
+                          commands};
+  monitor_.on_sent(sent, entry.commands.starts());
+  post(sent, status->heartbeat.address);
 }
 
-void DirectCommandSender::post(const std::string& machine, const MachineStatus& status,
-                               ids::FencingToken token,
-                               const std::vector<wire::Command>& commands) {
+void DirectCommandSender::post(const SentCommands& sent, const net::Endpoint& address) {
   ++in_flight_;
   context_.runtime.http(
-      status.heartbeat.address, command_request(status.heartbeat.incarnation, token, commands),
-      kWorkerRequestTimeout, [this, machine, token, commands](const net::HttpResult& result) {
-        handle_response(machine, token, commands, result);
-      });
+      address, command_request(sent.incarnation, sent.token, sent.commands), kWorkerRequestTimeout,
+      [this, sent](const net::HttpResult& result) { handle_response(sent, result); });
 }
 
 void DirectCommandSender::send_to_next_waiting() {
@@ -110,34 +115,33 @@
   send_soon(waiting_machines_.extract(waiting_machines_.begin()).value());
 }
 
-void DirectCommandSender::handle_response(const std::string& machine, ids::FencingToken token,
-                                          const std::vector<wire::Command>& sent,
-                                          const net::HttpResult& result) {
+void DirectCommandSender::handle_response(const SentCommands& sent, const net::HttpResult& result) {
   --in_flight_;
   send_to_next_waiting();
+  monitor_.on_answered(sent, outcome_of(result));
+  const auto& machine = sent.machine;
   auto* entry = attached_.find(machine);
   if (!entry) return;
   entry->direct.in_flight = false;
   // Stops that may not have been executed are queued again for the response to the next heartbeat.
   if (result.status != kExecuted)
-    for (const auto& command : sent)
+    for (const auto& command : sent.commands)
       if (command.kind == wire::CommandKind::Stop) entry->commands.append_once(command);
-  resolve_sent_starts(machine, *entry, token, sent, result);
+  resolve_sent_starts(sent, *entry, result);
   on_response_(machine, result);
   if (!attached_.is_attached(machine)) return;
   probes_.pull_next(machine);
   if (entry->commands.pending_count() > 0 || entry->direct.token_requested) send_soon(machine);
 }
 
-void DirectCommandSender::resolve_sent_starts(const std::string& machine, AttachedMachine& entry,
-                                              ids::FencingToken token,
-                                              const std::vector<wire::Command>& sent,
+void DirectCommandSender::resolve_sent_starts(const SentCommands& sent, AttachedMachine& entry,
                                               const net::HttpResult& result) {
+  const auto& machine = sent.machine;
   const auto was_sent = [&](const InFlightStart& start) {
-    return start.route == DeliveryRoute::Direct && start.fencing_token == token &&
-           std::any_of(sent.begin(), sent.end(), [&](const wire::Command& command) {
-             return same_attempt(command, start.command);
-           });
+    return start.route == DeliveryRoute::Direct && start.fencing_token == sent.token &&
+           std::any_of(
+               sent.commands.begin(), sent.commands.end(),
+               [&](const wire::Command& command) { return same_attempt(command, start.command); });
   };
   if (result.status == kExecuted) return entry.commands.acknowledge_if(was_sent);
   entry.direct.paused_until = context_.runtime.now() + kPauseAfterFailure;
@@ -146,7 +150,8 @@
   // that.
   const auto& starts = entry.commands.starts();
   if (std::none_of(starts.begin(), starts.end(), was_sent)) return;
-  entry.token_floor.raise(token.next());
+  entry.token_floor.raise(sent.token.next());
+  monitor_.on_token_raised(machine, sent.token.next(), TokenRaiseReason::UnansweredStart);
   attached_.broadcast_token_floor(machine);
   spdlog::info(
       "machine {} did not acknowledge a direct command in epoch {}: raising its fencing token",
@@ -160,13 +165,18 @@
   if (!status || !entry || !context_.membership.may_act() || in_flight_ >= kMaxInFlight)
     return;  // `CommandDispatcher::clean_up_ended_jobs` stops the task when a heartbeat lists it
   ++in_flight_;
-  const auto stop = command_for(wire::CommandKind::Stop, start);
+  const SentCommands sent{machine,
+                          DeliveryRoute::Direct,
+                          attached_.command_token(*entry, *status),
+                          status->heartbeat.incarnation,
+                          {command_for(wire::CommandKind::Stop, start)}};
+  monitor_.on_sent(sent, {});
   context_.runtime.http(status->heartbeat.address,
-                        command_request(status->heartbeat.incarnation,
-                                        attached_.command_token(*entry, *status), {stop}),
-                        kWorkerRequestTimeout, [this, machine](const net::HttpResult& result) {
+                        command_request(sent.incarnation, sent.token, sent.commands),
+                        kWorkerRequestTimeout, [this, sent](const net::HttpResult& result) {
                           --in_flight_;
-                          on_response_(machine, result);
+                          monitor_.on_answered(sent, outcome_of(result));
+                          on_response_(sent.machine, result);
                         });
 }
 }  // namespace limemast::machines
--- a/src/machines/direct_command_sender.hpp
+++ b/src/machines/direct_command_sender.hpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "machines/attached_machines.hpp"
+#include "machines/command_monitor.hpp"
 #include "machines/probe_service.hpp"
 #include "machines/start_resolver.hpp"
 
@@ -15,7 +16,8 @@
   /// Called with the response to each request. Its body may contain a heartbeat.
   using OnResponse = std::function<void(const std::string& machine, const net::HttpResult& result)>;
   DirectCommandSender(const GatewayContext& context, AttachedMachines& attached,
-                      StartResolver& starts, ProbeService& probes, OnResponse on_response);
+                      StartResolver& starts, ProbeService& probes, CommandMonitor& monitor,
+                      OnResponse on_response);
 
   /// Sends the machine's commands after a short delay, together with those queued until then. Does
   /// nothing while a heartbeat waits for its response, because the response carries the commands.
@@ -32,12 +34,9 @@
   void send(const std::string& machine);
   bool may_send(const std::string& machine, const AttachedMachine& entry,
                 const MachineStatus* status) const;
-  void post(const std::string& machine, const MachineStatus& status, ids::FencingToken token,
-            const std::vector<wire::Command>& commands);
-  void handle_response(const std::string& machine, ids::FencingToken token,
-                       const std::vector<wire::Command>& sent, const net::HttpResult& result);
-  void resolve_sent_starts(const std::string& machine, AttachedMachine& entry,
-                           ids::FencingToken token, const std::vector<wire::Command>& sent,
+  void post(const SentCommands& sent, const net::Endpoint& address);
+  void handle_response(const SentCommands& sent, const net::HttpResult& result);
+  void resolve_sent_starts(const SentCommands& sent, AttachedMachine& entry,
                            const net::HttpResult& result);
   void send_to_next_waiting();
 
@@ -45,6 +44,7 @@
   AttachedMachines& attached_;
   StartResolver& starts_;
   ProbeService& probes_;
+  CommandMonitor& monitor_;
   OnResponse on_response_;
   std::size_t in_flight_ = 0;
   /// Machines whose commands wait until fewer requests are in flight.
--- a/src/machines/heartbeat_handler.cpp
+++ b/src/machines/heartbeat_handler.cpp
@@ -72,8 +72,9 @@
 void HeartbeatHandler::attach(AttachedMachine& entry, const wire::Heartbeat& heartbeat) const {
   const auto epoch = context_.membership.epoch().number;
   // Commands that another controller sent directly may still be in flight.
-  entry.token_floor.supersede(
-      std::max(heartbeat.fencing_token.next(), ids::FencingToken::base(epoch)));
+  const auto token = std::max(heartbeat.fencing_token.next(), ids::FencingToken::base(epoch));
+  entry.token_floor.supersede(token);
+  parts_.monitor.on_token_raised(heartbeat.machine, token, TokenRaiseReason::Attached);
   // A machine without a token is new and has no tasks to show.
   HeartbeatResponder::set_token_request(entry, heartbeat.fencing_token != ids::kNoToken);
   spdlog::debug("machine {} attached to this controller in epoch {}", heartbeat.machine, epoch);
@@ -98,6 +99,7 @@
   const auto* before = context_.registry.find(machine);
   const bool repeats = before && before->attached_controller == controller &&
                        before->heartbeat.same_content_as(heartbeat);
+  if (!repeats) check_for_unexpected_attempts(before, heartbeat, controller);
   if (!context_.registry.update(heartbeat, controller, context_.runtime.now())) return;
   parts_.starts.on_heartbeat(machine, sent_by_worker);
   if (controller == context_.membership.self())
@@ -107,6 +109,16 @@
   if (!repeats) context_.runtime.post([this, machine] { on_update_(machine); });
 }
 
+void HeartbeatHandler::check_for_unexpected_attempts(const MachineStatus* before,
+                                                     const wire::Heartbeat& heartbeat,
+                                                     const cluster::ControllerId& controller) {
+  const auto* entry = parts_.attached.find(heartbeat.machine);
+  if (!entry || !parts_.attached.is_attached(before) || controller != context_.membership.self() ||
+      !heartbeat.newer_than(before->heartbeat))
+    return;
+  parts_.monitor.on_heartbeat(*entry, before->heartbeat, heartbeat);
+}
+
 void HeartbeatHandler::update_attached(const std::string& machine) {
   auto& entry = parts_.attached.get_or_add(machine);
   const auto& status = *context_.registry.find(machine);
--- a/src/machines/heartbeat_handler.hpp
+++ b/src/machines/heartbeat_handler.hpp
@@ -23,6 +23,7 @@
     HeartbeatForwarder& forwarder;
     PeerLoads& peer_loads;
     MachineRegistration& registration;
+    CommandMonitor& monitor;
   };
   /// Registers the handler of `ForwardHeartbeat`.
   HeartbeatHandler(const GatewayContext& context, const Parts& parts, OnUpdate on_update);
@@ -43,6 +44,9 @@
                            const net::Responder& respond);
   void attach(AttachedMachine& entry, const wire::Heartbeat& heartbeat) const;
   void detach(const std::string& machine);
+  /// `before`: the machine's status before the heartbeat.
+  void check_for_unexpected_attempts(const MachineStatus* before, const wire::Heartbeat& heartbeat,
+                                     const cluster::ControllerId& controller);
   void update_attached(const std::string& machine);
   /// Responds to the heartbeat by redirecting the machine to a less loaded controller, unless
   /// commands or a pull for it are pending: then a later heartbeat can be redirected. Returns false
--- a/src/machines/heartbeat_responder.cpp
+++ b/src/machines/heartbeat_responder.cpp
@@ -29,8 +29,9 @@
 }
 
 HeartbeatResponder::HeartbeatResponder(const GatewayContext& context, AttachedMachines& attached,
-                                       ProbeService& probes, DirectCommandSender& direct)
-    : context_(context), attached_(attached), probes_(probes), direct_(direct) {}
+                                       ProbeService& probes, DirectCommandSender& direct,
+                                       CommandMonitor& monitor)
+    : context_(context), attached_(attached), probes_(probes), direct_(direct), monitor_(monitor) {}
 
 void HeartbeatResponder::hold(AttachedMachine& entry, net::Responder respond,
                               std::uint64_t sequence) {
@@ -76,6 +77,10 @@
     commands =
         entry.commands.take_for_response(status->heartbeat.incarnation, entry.response.sequence);
   }
+  if (!commands.empty())
+    monitor_.on_sent(
+        {machine, DeliveryRoute::Response, token, status->heartbeat.incarnation, commands},
+        entry.commands.starts());
   respond(heartbeat_response(kAccepted, wire::commands_body(token, commands).dump(), status));
   // Without a request, the worker shows a higher token only in its next heartbeat, half a lease
   // later. The request proves one heartbeat interval sooner which tasks the machine has.
--- a/src/machines/heartbeat_responder.hpp
+++ b/src/machines/heartbeat_responder.hpp
@@ -13,7 +13,7 @@
 class HeartbeatResponder {
  public:
   HeartbeatResponder(const GatewayContext& context, AttachedMachines& attached,
-                     ProbeService& probes, DirectCommandSender& direct);
+                     ProbeService& probes, DirectCommandSender& direct, CommandMonitor& monitor);
 
   /// Keeps the responder of the machine's newest heartbeat. Refuses an earlier one that still
   /// waits.
@@ -42,5 +42,6 @@
   AttachedMachines& attached_;
   ProbeService& probes_;
   DirectCommandSender& direct_;
+  CommandMonitor& monitor_;
 };
 }  // namespace limemast::machines
--- a/src/machines/orphaned_machine_adoption.cpp
+++ b/src/machines/orphaned_machine_adoption.cpp
@@ -22,8 +22,13 @@
 OrphanedMachineAdoption::OrphanedMachineAdoption(const GatewayContext& context,
                                                  AttachedMachines& attached,
                                                  HeartbeatForwarder& forwarder,
-                                                 HeartbeatHandler& heartbeats)
-    : context_(context), attached_(attached), forwarder_(forwarder), heartbeats_(heartbeats) {
+                                                 HeartbeatHandler& heartbeats,
+                                                 CommandMonitor& monitor)
+    : context_(context),
+      attached_(attached),
+      forwarder_(forwarder),
+      heartbeats_(heartbeats),
+      monitor_(monitor) {
   context_.message_bus.on<messages::AdoptMachines>(
       [this](const cluster::ControllerId&, const auto& message) { on_adopt_machines(message); });
 }
@@ -92,6 +97,7 @@
     auto& entry = attached_.get_or_add(request.machine);
     entry.token_floor.supersede(std::max(status->heartbeat.fencing_token.next(), token));
     token = attached_.command_token(entry, *status);
+    monitor_.on_token_raised(request.machine, token, TokenRaiseReason::Adopted);
   }
   ++in_flight_;
   context_.runtime.http(status ? status->heartbeat.address : request.address,
--- a/src/machines/orphaned_machine_adoption.hpp
+++ b/src/machines/orphaned_machine_adoption.hpp
@@ -23,7 +23,8 @@
  public:
   /// Registers the handler of `AdoptMachines`.
   OrphanedMachineAdoption(const GatewayContext& context, AttachedMachines& attached,
-                          HeartbeatForwarder& forwarder, HeartbeatHandler& heartbeats);
+                          HeartbeatForwarder& forwarder, HeartbeatHandler& heartbeats,
+                          CommandMonitor& monitor);
 
   /// Called when a member was lost. Requests heartbeats from this controller's share of the
   /// machines that are attached to no member.
@@ -51,6 +52,7 @@
   AttachedMachines& attached_;
   HeartbeatForwarder& forwarder_;
   HeartbeatHandler& heartbeats_;
+  CommandMonitor& monitor_;
   std::deque<Request> queue_;
   /// Machines that `adopt_machines_without_heartbeat` has assigned to a member in this epoch.
   std::set<std::string> assigned_in_epoch_;
--- a/src/machines/worker_gateway.cpp
+++ b/src/machines/worker_gateway.cpp
@@ -1,27 +1,30 @@
 #include "machines/worker_gateway.hpp"
 
 namespace limemast::machines {
-WorkerGateway::WorkerGateway(const GatewayContext& context, HeartbeatHandler::OnUpdate on_update)
+WorkerGateway::WorkerGateway(const GatewayContext& context, HeartbeatHandler::OnUpdate on_update,
+                             CommandMetrics* metrics)
     : context_(context),
-      attached_(context),
+      monitor_(context, metrics),
+      attached_(context, monitor_),
       probes_(context, attached_,
               [this](const std::string& machine) { responder_.respond(machine); }),
       starts_(context, attached_),
-      direct_(context, attached_, starts_, probes_,
+      direct_(context, attached_, starts_, probes_, monitor_,
               [this](const std::string& machine, const net::HttpResult& result) {
                 heartbeats_.on_direct_response(machine, result);
               }),
-      responder_(context, attached_, probes_, direct_),
+      responder_(context, attached_, probes_, direct_, monitor_),
       unknown_jobs_(context, [this](const std::string& uid) { on_job_ended(uid); }),
-      dispatcher_(context, attached_, probes_, starts_, direct_, responder_, unknown_jobs_),
+      dispatcher_(context, attached_, probes_, starts_, direct_, responder_, unknown_jobs_,
+                  monitor_),
       peer_loads_(context),
       forwarder_(context, attached_, peer_loads_),
       registration_(context, attached_),
       heartbeats_(context,
                   {attached_, probes_, starts_, responder_, dispatcher_, forwarder_, peer_loads_,
-                   registration_},
+                   registration_, monitor_},
                   std::move(on_update)),
-      adoption_(context, attached_, forwarder_, heartbeats_) {}
+      adoption_(context, attached_, forwarder_, heartbeats_, monitor_) {}
 
 void WorkerGateway::handle_heartbeat(const wire::Heartbeat& heartbeat, net::Responder respond) {
   heartbeats_.handle(heartbeat, std::move(respond));
--- a/src/machines/worker_gateway.hpp
+++ b/src/machines/worker_gateway.hpp
@@ -8,7 +8,9 @@
 class WorkerGateway {
  public:
   /// The objects in `context` outlive the gateway. `on_update`: see `HeartbeatHandler::OnUpdate`.
-  WorkerGateway(const GatewayContext& context, HeartbeatHandler::OnUpdate on_update);
+  /// `metrics`: null if no metrics are collected.
+  WorkerGateway(const GatewayContext& context, HeartbeatHandler::OnUpdate on_update,
+                CommandMetrics* metrics);
 
   /// Handles a worker's POST /hello. Responds at once or after some tens of milliseconds.
   void handle_heartbeat(const wire::Heartbeat& heartbeat, net::Responder respond);
@@ -32,6 +34,7 @@
 
  private:
   GatewayContext context_;
+  CommandMonitor monitor_;
   AttachedMachines attached_;
   ProbeService probes_;
   StartResolver starts_;
--- a/src/operator_api/metrics.cpp
+++ b/src/operator_api/metrics.cpp
@@ -15,6 +15,12 @@
                                                       0.25,  0.5,   1,    2.5,   5};
 const Histogram::BucketBoundaries kLoopDelaySecondsBuckets{0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
                                                            0.1,   0.2,   0.5,   1,    5};
+const Histogram::BucketBoundaries kDeferralSecondsBuckets{0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+// Labels in the order of the enumerators.
+constexpr const char* kCommandLabels[] = {"start", "stop", "forget"};
+constexpr const char* kRouteLabels[] = {"queued", "response", "direct"};
+constexpr const char* kOutcomeLabels[] = {"executed", "rejected", "unanswered", "unconfirmed"};
+constexpr const char* kRaiseLabels[] = {"forget", "unanswered_start", "attached", "adopted"};
 constexpr const char* kServiceLabels[] = {"state", "cloud", "worker", "other"};
 /// The label of an HTTP status. Statuses are grouped, so that other services cannot create an
 /// unlimited number of time series.
@@ -47,6 +53,26 @@
                       .Help("Grants that ended")
                       .Register(registry)
                       .Add({});
+  Family<Counter>& commands = BuildCounter()
+                                  .Name("limemast_commands_total")
+                                  .Help("Commands to workers, by kind, route and outcome")
+                                  .Register(registry);
+  Family<Counter>& raises = BuildCounter()
+                                .Name("limemast_fencing_token_raises_total")
+                                .Help("Raises of the fencing token of a machine, by reason")
+                                .Register(registry);
+  Counter& reappeared = BuildCounter()
+                            .Name("limemast_attempts_reappeared_total")
+                            .Help(
+                                "Attempts on a machine that its controller had forgotten or had "
+                                "not started there")
+                            .Register(registry)
+                            .Add({});
+  Histogram& deferral = BuildHistogram()
+                            .Name("limemast_forget_deferral_seconds")
+                            .Help("For how long forgets were deferred")
+                            .Register(registry)
+                            .Add({}, kDeferralSecondsBuckets);
   Family<Gauge>& node = BuildGauge()
                             .Name("limemast_node")
                             .Help("What this controller is and knows")
@@ -85,6 +111,22 @@
 }
 void Metrics::lease_lost() { impl_->lost.Increment(); }
 
+void Metrics::command_sent(wire::CommandKind kind, machines::DeliveryRoute route,
+                           machines::CommandOutcome outcome) {
+  impl_->commands
+      .Add({{"kind", kCommandLabels[static_cast<int>(kind)]},
+            {"route", kRouteLabels[static_cast<int>(route)]},
+            {"outcome", kOutcomeLabels[static_cast<int>(outcome)]}})
+      .Increment();
+}
+void Metrics::token_raised(machines::TokenRaiseReason reason) {
+  impl_->raises.Add({{"reason", kRaiseLabels[static_cast<int>(reason)]}}).Increment();
+}
+void Metrics::attempt_reappeared() { impl_->reappeared.Increment(); }
+void Metrics::deferred_forget_sent(net::Duration delay) {
+  impl_->deferral.Observe(net::to_seconds(delay).count());
+}
+
 std::string Metrics::text(const Gauges& g) {
   auto set = [&](const char* what, double value) { impl_->node.Add({{"what", what}}).Set(value); };
   set("leads", g.leads);
--- a/src/operator_api/metrics.hpp
+++ b/src/operator_api/metrics.hpp
@@ -4,6 +4,7 @@
 #include "diagnostics/pending_reason_table.hpp"
 #include "diagnostics/slo_attainment.hpp"
 #include "ids/fencing.hpp"
+#include "machines/command_metrics.hpp"
 
 namespace limemast::operator_api {
 /// Values of the gauges, read when the metrics are requested.
@@ -24,15 +25,20 @@
 
 /// Metrics of the process in the Prometheus text format. They outlive controller incarnations, so
 /// that counters never decrease.
-class Metrics {
+class Metrics final : public machines::CommandMetrics {
  public:
   Metrics();
-  ~Metrics();
+  ~Metrics() override;
   enum class Service { State, Cloud, Worker, Other };
   void call(Service service, int status, net::Duration took);
   void loop_delay(net::Duration late);
   void operator_request(int status);
   void lease_lost();
+  void command_sent(wire::CommandKind kind, machines::DeliveryRoute route,
+                    machines::CommandOutcome outcome) override;
+  void token_raised(machines::TokenRaiseReason reason) override;
+  void attempt_reappeared() override;
+  void deferred_forget_sent(net::Duration delay) override;
   /// Updates the gauges and returns all metrics in the text format.
   std::string text(const Gauges& gauges);
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <spdlog/spdlog.h>
+
 #include "store/protocol.hpp"
 
 namespace limemast::store {
@@ -16,7 +18,7 @@
 }  // namespace
 
 Client::Client(net::Runtime& runtime, const wire::Settings& settings)
-    : settings_(settings), queue_(runtime, settings.store_endpoint) {
+    : runtime_(runtime), settings_(settings), queue_(runtime, settings.store_endpoint) {
   set_active_controllers(settings.controller_count);
 }
 
@@ -40,8 +42,16 @@
 
 void Client::get(Priority priority, const std::string& key, std::function<void(GetResult)> done) {
   call(priority, protocol::get_request(key), kTimeout,
-       [done = std::move(done)](const net::HttpResult& result) {
-         done(protocol::decode_get(result));
+       [this, key, sent = runtime_.now(), done = std::move(done)](const net::HttpResult& result) {
+         const auto decoded = protocol::decode_get(result);
+         spdlog::debug(
+             "read {} from the store: {}, revision {}, asked {} ms ago", key,
+             !decoded.answered ? "no answer"
+             : decoded.found   ? "found"
+                               : "absent",
+             decoded.mod_revision.value(),
+             std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - sent).count());
+         done(decoded);
        });
 }
 
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -55,6 +55,7 @@
   void set_active_controllers(std::size_t controllers);
 
  private:
+  net::Runtime& runtime_;
   const wire::Settings& settings_;
   RequestQueue queue_;
   DecodeErrors decode_errors_;
--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include <spdlog/spdlog.h>
+
 namespace limemast::store {
 namespace {
 using namespace std::chrono_literals;
@@ -118,9 +120,16 @@
 
 void WatchCache::refresh(std::function<void(bool)> done) {
   if (!synced_) return done(false);
-  client_.changes(prefix_, revision_, kNoWait, kRefreshTimeout,
-                  [this, sent = runtime_.now(), done = std::move(done)](
-                      const ChangesResult& result) { done(apply_changes(result, sent)); });
+  client_.changes(
+      prefix_, revision_, kNoWait, kRefreshTimeout,
+      [this, sent = runtime_.now(), done = std::move(done)](const ChangesResult& result) {
+        const bool applied = apply_changes(result, sent);
+        spdlog::debug(
+            "linearizable read of {}: {}, revision {}, asked {} ms ago", prefix_,
+            applied ? "answered" : "no answer", revision_.value(),
+            std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - sent).count());
+        done(applied);
+      });
 }
 
 bool WatchCache::apply_changes(const ChangesResult& result, net::Time sent) {
--- a/tests/simulation/injected_faults.cpp
+++ b/tests/simulation/injected_faults.cpp
@@ -109,6 +109,11 @@
   });
 }
 
+void SimulatedCluster::reset_fencing_tokens() {
+  for (auto& [name, w] : workers_)
+    w.fencing_token = ids::FencingToken::base(ids::FencingToken(w.fencing_token).epoch()).value();
+}
+
 void SimulatedCluster::block_heartbeats(
     const std::function<bool(const std::string&, const std::string&)>& which, Duration time) {
   for (auto& [name, w] : workers_) {
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -119,6 +119,8 @@
   std::size_t cloud_duplicates_with_effect() const { return cloud_duplicates_with_effect_; }
   /// Raises each machine's fencing token to the last one of its epoch.
   void exhaust_fencing_tokens();
+  /// Sets each machine's fencing token back to the first one of its epoch, as no worker does.
+  void reset_fencing_tokens();
   /// How often a worker executed a Start command of an attempt that it had executed before in the
   /// same incarnation. Each attempt may be started only once.
   std::size_t attempts_started_twice() const { return attempts_started_twice_; }
