Tests: repeated requests among the random faults; a drain that comes back

Found: the transaction that writes a drain requires that the key does not exist. If it arrives again after an operator ended the drain, within the same epoch, the condition holds again and the drain is back.

--- a/tests/compat/fault_day.cpp
+++ b/tests/compat/fault_day.cpp
@@ -343,7 +343,7 @@
 void FaultDay::inject_machine_fault() {
   const auto duration = random_duration(2, 25);
   const auto one_in_four = [this](const std::string&, const std::string&) { return chance(0.25); };
-  switch (world_.below(11)) {
+  switch (world_.below(12)) {
     case 0:
       return cluster_.block_inbound_to_machines(one_in_four, duration);
     case 1:
@@ -364,6 +364,10 @@
       return cluster_.duplicate_heartbeats_late(0.3, duration);
     case 9:
       return cluster_.replay_heartbeats_at_next_leader(0.5, random_duration(10, 40));
+    case 10:
+      for (auto receiver : {Side::Workers, Side::State, Side::Cloud})
+        cluster_.duplicate_requests_late(receiver, 0.3, duration);
+      return cluster_.duplicate_user_requests_late(0.3, duration);
     default:
       cluster_.cancel_at_end(0.4, duration);
       return cluster_.drop_direct_commands(duration);
--- a/tests/fault_interactions/random_faults.hpp
+++ b/tests/fault_interactions/random_faults.hpp
@@ -13,7 +13,7 @@
   using FaultInteraction::FaultInteraction;
   /// The regression cases draw from the kinds below this number, so these must not be renumbered.
   static constexpr std::size_t kBasicFaultKinds = 16;
-  static constexpr std::size_t kAllFaultKinds = 23;
+  static constexpr std::size_t kAllFaultKinds = 24;
   /// Injects the fault with this number. One kind hangs the machines of one of the jobs
   /// `to_cancel`.
   void inject_fault(std::size_t kind, const std::vector<std::string>& to_cancel) {
@@ -85,8 +85,14 @@
         for (std::size_t i = 0; i < 3; ++i)
           cluster_.delay_links(i, seconds(uniform(0.2, 1.5)), duration);
         return;
-      default:
+      case 22:
         return cluster_.kill_machines(1 + world_.below(4));
+      default: {
+        const auto share = uniform(0.2, 0.8);
+        for (auto receiver : {Side::Workers, Side::State, Side::Cloud})
+          cluster_.duplicate_requests_late(receiver, share, duration);
+        return cluster_.duplicate_user_requests_late(share, duration);
+      }
     }
   }
 
--- a/tests/fault_interactions/repeated_requests_test.cpp
+++ b/tests/fault_interactions/repeated_requests_test.cpp
@@ -112,6 +112,38 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, StoreRequestsArrivingAgain, testing::Range<std::uint64_t>(1, 7));
 
+class DrainRequestsArrivingAgain : public FaultInteraction {
+ protected:
+  static wire::Settings with_operator_api() {
+    auto settings = default_settings();
+    settings.operators.enabled = true;
+    return settings;
+  }
+  DrainRequestsArrivingAgain() : FaultInteraction(with_operator_api()) {}
+  void send(const std::string& method) {
+    cluster_.ask(leader(), {method, "/operator/v1/drains/zone/a", ""},
+                 [](const net::HttpResponse&) {});
+    cluster_.run(3s);
+  }
+  bool is_drained() {
+    return cluster_.state().value(cluster::keys::kDrains + std::string("zone/a")) != nullptr;
+  }
+};
+
+// The transaction that wrote the drain arrives again after an operator ended the drain.
+TEST_P(DrainRequestsArrivingAgain, BringBackNoEndedDrain) {
+  cluster_.duplicate_requests_late(Side::State, 1, 5s);
+  send("PUT");
+  ASSERT_TRUE(is_drained());
+  send("DELETE");
+  for (int step = 0; step < 25; ++step) {
+    cluster_.run(1s);
+    EXPECT_FALSE(is_drained()) << step << " s after the end of the drain";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DrainRequestsArrivingAgain, testing::Range<std::uint64_t>(1, 4));
+
 class CloudRequestsArrivingAgain : public FaultInteraction {};
 
 // The names of launches and of machines are never used again.
