Machines: a forget raises the token only if a direct start may be repeated

Cause: every message with a forget raised the machine's token, although most attempts are started in the response to a heartbeat, of which the worker drops late copies.

--- a/src/machines/attached_machines.cpp
+++ b/src/machines/attached_machines.cpp
@@ -46,7 +46,8 @@
 ids::FencingToken AttachedMachines::token_for_pending_commands(AttachedMachine& machine,
                                                                const MachineStatus& status) {
   const auto above_shown = status.heartbeat.fencing_token.next();
-  if (machine.commands.has_pending_forget() && machine.token_floor.raise(above_shown))
+  if (machine.commands.has_pending_forget_of_direct_start() &&
+      machine.token_floor.raise(above_shown))
     monitor_.on_token_raised(status.heartbeat.machine, above_shown, TokenRaiseReason::Forget);
   return command_token(machine, status);
 }
--- a/src/machines/attached_machines.hpp
+++ b/src/machines/attached_machines.hpp
@@ -100,9 +100,10 @@
   /// The token of commands that are sent to the machine now.
   ids::FencingToken command_token(const AttachedMachine& machine,
                                   const MachineStatus& status) const;
-  /// The token of a message that carries the machine's pending commands. With a forget among them
-  /// it is above every token that the machine has shown, and so above that of each start of a
-  /// forgotten attempt: a copy of the start is rejected (docs/design.md, "A task runs once").
+  /// The token of a message that carries the machine's pending commands. With a forget of an
+  /// attempt that may have been started directly it is above every token that the machine has
+  /// shown, and so above that of the start, of which a copy is then rejected (docs/design.md, "A
+  /// task runs once").
   ids::FencingToken token_for_pending_commands(AttachedMachine& machine,
                                                const MachineStatus& status);
   /// Sends the machine's token floor to the other controllers: the one that the machine attaches to
--- a/src/machines/command_queue.hpp
+++ b/src/machines/command_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // The commands for one machine: stops and forgets until they are sent, and starts until it is
 // proved whether they arrived.
+#include <algorithm>
 #include <vector>
 
 #include "machines/delivery_resolution.hpp"
@@ -16,12 +17,10 @@
   void append_once(const wire::Command& command);
   /// Number of stops and forgets that were not sent.
   std::size_t pending_count() const { return pending_.size(); }
-  /// Whether a forget was not sent.
-  bool has_pending_forget() const {
-    return std::any_of(pending_.begin(), pending_.end(), [](const wire::Command& command) {
-      return command.kind == wire::CommandKind::Forget;
-    });
-  }
+  /// Whether there is an unsent forget of an attempt that a direct request may have started. A copy
+  /// of that request can arrive after the forget. The response to a heartbeat cannot, because the
+  /// worker drops late responses. An attempt that this queue did not start counts as direct.
+  bool has_pending_forget_of_direct_start() const;
   void clear_pending() { pending_.clear(); }
 
   /// Queues a start.
@@ -55,7 +54,15 @@
                                               bool with_starts);
 
  private:
+  bool is_started_in_response(const TaskAttempt& attempt) const {
+    return std::find(response_starts_.begin(), response_starts_.end(), attempt) !=
+           response_starts_.end();
+  }
+
   std::vector<wire::Command> pending_;
   std::vector<InFlightStart> starts_;
+  /// The attempts whose start was last taken for a response, the oldest first. A missing entry only
+  /// makes a forget raise the token needlessly.
+  std::vector<TaskAttempt> response_starts_;
 };
 }  // namespace limemast::machines
--- a/tests/machines/command_monitor_test.cpp
+++ b/tests/machines/command_monitor_test.cpp
@@ -78,6 +78,7 @@
 
 TEST_F(CommandMonitorTest, ReportsAttemptThatRunsAgainAfterItWasForgotten) {
   for (int i = 0; i < 60; ++i) {
+    submit(cluster_, plain(cluster_, false, 2, "red", 5));
     cluster_.run(1s);
     cluster_.reset_fencing_tokens();
   }
