--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -6,7 +6,7 @@
 namespace {
 /// The rule allows a job to wait this long.
 constexpr double kLongestWait = 90;
-constexpr double kWaitMargin = 2;
+constexpr double kWaitMargin = 0.5;
 
 DeploymentSettings mapvault(const CaseArguments& arguments) {
   DeploymentSettings settings;
@@ -26,6 +26,44 @@
   return settings;
 }
 
+json team(const std::string& name, double cpus, double cpus_max) {
+  return {{"name", name}, {"cpus", cpus}, {"cpus_max", cpus_max}, {"gpus", 0.0}, {"gpus_max", 0.0}};
+}
+
+DeploymentSettings waterworks(const CaseArguments& arguments) {
+  DeploymentSettings settings;
+  settings.command = arguments.command;
+  settings.directory = arguments.directory;
+  settings.workers = {2, 12};
+  settings.cancel_s = 37;
+  settings.teams = json::array(
+      {team("water-assets", 192, 576), team("corrosion-lab", 8, 16), team("transit-survey", 0, 0)});
+  settings.cloud.types = {{"cedar", 8, 16}, {"fir", 16, 64}};
+  settings.cloud.boot_s = 20;
+  settings.cloud.list_lag_s = 8;
+  return settings;
+}
+
+Job array(const std::string& uid, int tasks, double estimate, double run_s, const json& more) {
+  Job job;
+  job.body = submission(uid, tasks, 4.0, estimate, more);
+  job.run_s = run_s;
+  return job;
+}
+
+/// Waits until `tasks` tasks of the job are on machines.
+bool wait_for_tasks(Deployment& deployment, const Job& job, int tasks, double timeout) {
+  const auto uid = job.body["uid"].get<std::string>();
+  for (const double until = now() + timeout; now() < until; sleep_for(0.05)) {
+    int on_machines = 0;
+    for (int n = 0; n < job.body["shards"].get<int>(); ++n)
+      on_machines += !deployment.world().machines_of(uid + "/" + std::to_string(n)).empty();
+    if (on_machines >= tasks) return true;
+  }
+  Record::get().cannot_run(uid + " has not begun");
+  return false;
+}
+
 Job tile_server(const std::string& uid, int replicas, const json& more = json::object()) {
   json fields{{"workload", "tile-server"},
               {"owner", "cartography-desk"},
@@ -194,9 +232,110 @@
   while (now() < cut + 27 && !Record::get().any_broken()) sleep_for(0.1);
 }
 
+// In a quiet time the leader cordons a machine that still runs a task. Then jobs come more often.
+void cordon_outlasts_quiet_time(const CaseArguments& arguments) {
+  auto settings = waterworks(arguments);
+  settings.cloud.capacity = {{"fraser", 2}};
+  settings.cloud.spot_capacity = 2;
+  auto& deployment = deploy(settings);
+  auto& cloud = deployment.cloud();
+  cloud.add("cedar", "fraser", 0, true);
+  cloud.add("fir", "fraser", 1, true);
+  if (!start_all(deployment, 2)) return;
+  const double up = now();
+  const json sync{{"workload", "gis-sync"}, {"owner", "water-assets"}, {"reclaimable", true}};
+  auto on_cedar = sync;
+  on_cedar["flavors"] = {"cedar"};
+  auto on_fir = sync;
+  on_fir["flavors"] = {"fir"};
+  const auto first = array("wk-000001", 1, 50, 300, on_cedar);
+  const auto second = array("wk-000002", 2, 50, 300, on_fir);
+  deployment.submit(first, 0);
+  deployment.submit(second, 1);
+  if (!wait_for_tasks(deployment, first, 1, 10) || !wait_for_tasks(deployment, second, 2, 10))
+    return;
+  sleep_for(up + 22 - now());
+  if (arguments.trouble) {
+    const auto burst = array("wk-000003", 2, 50, 300, sync);
+    deployment.submit(burst, 2);
+    if (!wait_for_tasks(deployment, burst, 2, 6)) return;
+    record("the burst is over");
+  }
+  const auto last = array("wk-000004", 1, 50, 300, sync);
+  if (!deployment.submit(last, 0)) return Record::get().cannot_run("not accepted");
+  watch_waiting(deployment, last, {"fraser"});
+}
+
+// A team is at its limit and has more short work. Another team's work must not wait for that.
+void limited_team_blocks_guests(const CaseArguments& arguments) {
+  auto settings = waterworks(arguments);
+  settings.districts = {"fraser"};
+  settings.cloud.capacity = {{"fraser", 3}};
+  auto& deployment = deploy(settings);
+  auto& cloud = deployment.cloud();
+  for (std::size_t node = 0; node < 3; ++node) cloud.add("fir", "fraser", node);
+  if (!start_all(deployment, 3)) return;
+  const json lab{{"workload", "gis-sync"}, {"owner", "corrosion-lab"}};
+  const auto usual = array("wk-000001", 4, 50, 300, lab);
+  deployment.submit(usual, 0);
+  if (!wait_for_tasks(deployment, usual, 4, 10)) return;
+  if (arguments.trouble) {
+    deployment.submit(array("wk-000002", 12, 50, 300, lab), 1);
+    sleep_for(3);
+    record("the burst is over");
+  }
+  const auto guest =
+      array("wk-000003", 1, 100, 100,
+            {{"workload", "backfill-reindex"}, {"owner", "transit-survey"}, {"rank", "low"}});
+  if (!deployment.submit(guest, 2)) return Record::get().cannot_run("not accepted");
+  watch_waiting(deployment, guest, {"fraser"});
+}
+
+// Cheap machines are taken back in a wave. The work of a guest team that ran there may use ordinary
+// machines too, of which two are empty.
+void guests_shun_ordinary_machines(const CaseArguments& arguments) {
+  auto settings = waterworks(arguments);
+  settings.cloud.capacity = {{"fraser", 1}, {"kootenay", 3}, {"burrard", 1}};
+  auto& deployment = deploy(settings);
+  auto& cloud = deployment.cloud();
+  cloud.add("fir", "fraser", 0);
+  cloud.add("fir", "kootenay", 1);
+  cloud.add("fir", "burrard", 2);
+  const auto cheap_one = cloud.add("fir", "kootenay", 0, true).name();
+  const auto cheap_two = cloud.add("fir", "kootenay", 1, true).name();
+  if (!start_all(deployment, 5)) return;
+  Job feed = tile_server("wk-000001", 8,
+                         {{"workload", "assetfeed"},
+                          {"owner", "water-assets"},
+                          {"apart", false},
+                          {"district", "fraser"}});
+  deployment.submit(feed, 0);
+  if (!wait_for_tasks(deployment, feed, 8, 10)) return;
+  sleep_for(2.5);
+  const auto guest = array("wk-000002", 1, 300, 300,
+                           {{"workload", "backfill-reindex"},
+                            {"owner", "transit-survey"},
+                            {"rank", "low"},
+                            {"reclaimable", true}});
+  if (!deployment.submit(guest, 2)) return Record::get().cannot_run("not accepted");
+  if (!wait_for_tasks(deployment, guest, 1, 6)) return;
+  if (arguments.trouble) {
+    cloud.take_away(cheap_one);
+    cloud.take_away(cheap_two);
+    record("the wave is over");
+    // The leader needs this long to prove that the machines are gone.
+    sleep_for(15);
+  }
+  watch_waiting(deployment, guest, {"kootenay", "burrard"});
+}
+
 bool play(const std::string& name, const CaseArguments& arguments) {
   const std::map<std::string, void (*)(const CaseArguments&)> cases{
-      {"full-zone", full_zone_blocks_services}, {"learned-token", deposed_leader_learns_token}};
+      {"full-zone", full_zone_blocks_services},
+      {"learned-token", deposed_leader_learns_token},
+      {"cordon", cordon_outlasts_quiet_time},
+      {"limited-team", limited_team_blocks_guests},
+      {"guests", guests_shun_ordinary_machines}};
   const auto it = cases.find(name);
   if (it == cases.end()) return false;
   it->second(arguments);
