Review: many tiny tasks make reports too large (case 5)

Case 5 shows that a job of tiny tasks fills machines until their reports exceed 64 KiB. Every controller refuses them, the leases expire, and all tasks on the machines are lost, those of other teams too. Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A service that waits for a full zone keeps the services after it from a zone with room.
-exec "$(dirname "$0")/../standins-2/run-case.sh" full-zone "$(dirname "$0")"
+# Many tiny tasks make a worker's report larger than a request may be; the machine loses its lease with all its tasks.
+exec "$(dirname "$0")/../standins-2/run-case.sh" tiny-tasks "$(dirname "$0")"
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -329,13 +329,58 @@
   watch_waiting(deployment, guest, {"kootenay", "burrard"});
 }
 
+// A guest team's job has many tiny tasks. A worker's report lists them all until they are cleared.
+void tiny_tasks_overfill_reports(const CaseArguments& arguments) {
+  auto settings = waterworks(arguments);
+  settings.districts = {"fraser", "kootenay"};
+  settings.cloud.capacity = {{"fraser", 2}, {"kootenay", 1}};
+  auto& deployment = deploy(settings);
+  auto& cloud = deployment.cloud();
+  cloud.add("fir", "fraser", 0);
+  cloud.add("fir", "kootenay", 1);
+  cloud.add("fir", "fraser", 2, true);
+  if (!start_all(deployment, 3)) return;
+  sleep_for(2.5);
+  for (int number = 1; number <= 2; ++number) {
+    const auto feed =
+        tile_server(uid_of(number), 1,
+                    {{"workload", "assetfeed"},
+                     {"owner", "water-assets"},
+                     {"ramGb", 3.1},
+                     {"district", settings.districts[static_cast<std::size_t>(number - 1)]}});
+    deployment.submit(feed, number);
+    if (!wait_for_tasks(deployment, feed, 1, 10)) return;
+  }
+  sleep_for(2.5);
+  const int tasks = arguments.trouble ? 10'000 : 100;
+  auto probes = array("wk-000003", tasks, 1, 0.3,
+                      {{"workload", "hydrant-probes"},
+                       {"owner", "transit-survey"},
+                       {"rank", "low"},
+                       {"cpus", 0.1},
+                       {"ramGb", 0.05}});
+  if (!deployment.submit(probes, 2)) return Record::get().cannot_run("not accepted");
+  const double until = now() + 80;
+  while (now() < until && deployment.world().final_phase("wk-000003").empty()) {
+    deployment.poll("wk-000003", 0);
+    for (const double next = now() + 2; now() < next; sleep_for(0.1))
+      for (auto* worker : cloud.workers())
+        if (worker->session() > 1 && worker->refused_as_too_large() > 0)
+          return Record::get().broken(
+              "body_limit",
+              worker->name() + " lost its lease with all its tasks: its reports, of " +
+                  std::to_string(worker->refused_as_too_large()) + " bytes, were refused");
+  }
+  for (auto* worker : cloud.workers())
+    record("largest message to " + worker->name() + ": " +
+           std::to_string(worker->largest_message()) + " bytes");
+}
+
 bool play(const std::string& name, const CaseArguments& arguments) {
   const std::map<std::string, void (*)(const CaseArguments&)> cases{
-      {"full-zone", full_zone_blocks_services},
-      {"learned-token", deposed_leader_learns_token},
-      {"cordon", cordon_outlasts_quiet_time},
-      {"limited-team", limited_team_blocks_guests},
-      {"guests", guests_shun_ordinary_machines}};
+      {"full-zone", full_zone_blocks_services},  {"learned-token", deposed_leader_learns_token},
+      {"cordon", cordon_outlasts_quiet_time},    {"limited-team", limited_team_blocks_guests},
+      {"guests", guests_shun_ordinary_machines}, {"tiny-tasks", tiny_tasks_overfill_reports}};
   const auto it = cases.find(name);
   if (it == cases.end()) return false;
   it->second(arguments);
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -34,9 +34,9 @@
   std::thread([this] { task_loop(); }).detach();
 }
 
-std::uint64_t Worker::mandate() {
+std::uint64_t Worker::session() {
   const std::lock_guard lock(mutex_);
-  return mandate_;
+  return tenure_;
 }
 
 std::size_t Worker::live_tasks() {
@@ -85,6 +85,7 @@
   while ((hangs() || deaf_) && !gone_) sleep_for(0.02);
   if (gone_) return {};
   const std::lock_guard lock(mutex_);
+  largest_message_ = std::max<std::size_t>(largest_message_, request.body.size());
   check_lease();
   if (request.path == "/show") return {200, report().dump()};
   if (request.path != "/orders") return {404, "{}"};
@@ -252,6 +253,7 @@
     sleep_for(kReportTimeout);
   while (hangs() && !gone_) sleep_for(0.02);
   if (!*reaches_[node] || now() > sent + kReportTimeout) response = {};
+  largest_message_ = std::max<std::size_t>(largest_message_, response.body.size());
   const auto answer = response.parsed();
   if (response.status == 200 && answer.is_object()) {
     const std::lock_guard lock(mutex_);
@@ -274,6 +276,10 @@
     apply(orders);
     return;
   }
+  const auto size = body.dump().size();
+  record("machine " + name_ + ": report of " + std::to_string(size) + " bytes to node " +
+         std::to_string(node) + " -> " + std::to_string(response.status));
+  if (response.status == 413) too_large_ = size;
   std::size_t next = (node + 1) % nodes_.size();
   double pause = 1;
   if (response.status == 421 && answer.is_object() && answer.contains("home")) {
--- a/review/standins-2/worker.hpp
+++ b/review/standins-2/worker.hpp
@@ -36,7 +36,12 @@
   /// The machine is gone, with everything on it.
   void take_away();
   std::size_t node() const { return node_; }
-  std::uint64_t mandate();
+  /// Number of the session; it grows when the lease has expired.
+  std::uint64_t session();
+  /// Size of the last report that a controller refused with 413; 0 if none was.
+  std::size_t refused_as_too_large() const { return too_large_; }
+  /// Size of the largest response or direct request that a controller has sent.
+  std::size_t largest_message() const { return largest_message_; }
   std::size_t live_tasks();
   /// Whether the machine has free resources for a task of the job.
   bool has_room_for(const Job& job);
@@ -78,6 +83,8 @@
   std::atomic<bool> gone_{false};
   std::atomic<bool> change_{false};
   std::atomic<double> hangs_until_{0};
+  std::atomic<std::size_t> too_large_{0};
+  std::atomic<std::size_t> largest_message_{0};
 
   std::mutex mutex_;
   std::vector<Task> tasks_;
