--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Best-effort work that may use cheap machines never gets an ordinary one, though it is empty.
-exec "$(dirname "$0")/../standins-2/run-case.sh" guests "$(dirname "$0")"
+# A service that waits for a full zone keeps the services after it from a zone with room.
+exec "$(dirname "$0")/../standins-2/run-case.sh" full-zone "$(dirname "$0")"
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -167,7 +167,7 @@
   settings.teams = json::array(
       {{{"name", "assets"}, {"cpus", 500.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}});
   settings.state = {{"rps", 400.0}, {"write_rps", 150.0}, {"value_kb", 32.0}, {"txn_ops", 24}};
-  settings.cloud.types = {{"fir", 16, 64}, {"oak", 60, 256}};
+  settings.cloud.types = {{"fir", 16, 64}, {"oak", 60, 600}};
   settings.cloud.boot_s = 20;
   auto& deployment = deploy(settings);
   auto& cloud = deployment.cloud();
@@ -203,16 +203,20 @@
   submit("wk-000002", kOthers, 12, 0, production, 0);
   sleep_for(5);
   const json urgent{{"rank", "urgent"}};
+  const auto with_ram = [](double gb) { return json{{"rank", "urgent"}, {"ramGb", gb}}; };
   const double begin = now();
   const double cut = begin + 24.4;
   std::vector<Job> failing;
   failing.push_back(submit("wk-000011", kOthers, 3, 100, urgent, 0.3));
   sleep_for(begin + 9.1 - now());
   failing.push_back(submit("wk-000012", kOthers, 3, 100, urgent, 1.5));
-  sleep_for(begin + 9.4 - now());
-  failing.push_back(submit("wk-000013", kOthers, 0.6, 100, urgent, 1.5));
-  sleep_for(begin + 9.7 - now());
-  failing.push_back(submit("wk-000014", kOthers, 0.4, 100, urgent, 1.5));
+  sleep_for(begin + 9.3 - now());
+  // Each of these has room for one task on each machine beside those before it.
+  failing.push_back(submit("wk-000013", kOthers, 0.3, 100, with_ram(32), 1.5));
+  sleep_for(begin + 9.6 - now());
+  failing.push_back(submit("wk-000014", kOthers, 0.3, 100, with_ram(20), 1.5));
+  sleep_for(begin + 9.9 - now());
+  failing.push_back(submit("wk-000015", kOthers, 0.3, 100, with_ram(7), 1.5));
   sleep_for(begin + 16 - now());
   submit("wk-000003", kOthers, 4, 0, production, 0);
   for (auto job : failing) {
@@ -329,58 +333,86 @@
   watch_waiting(deployment, guest, {"kootenay", "burrard"});
 }
 
-// A guest team's job has many tiny tasks. A worker's report lists them all until they are cleared.
-void tiny_tasks_overfill_reports(const CaseArguments& arguments) {
+// Machines hang while tasks are being started on them, and the users cancel these jobs.
+void stop_overtakes_start(const CaseArguments& arguments) {
   auto settings = waterworks(arguments);
-  settings.districts = {"fraser", "kootenay"};
-  settings.cloud.capacity = {{"fraser", 2}, {"kootenay", 1}};
+  settings.districts = {"fraser"};
+  constexpr int kMachines = 8;
+  settings.cloud.capacity = {{"fraser", kMachines}};
   auto& deployment = deploy(settings);
-  auto& cloud = deployment.cloud();
-  cloud.add("fir", "fraser", 0);
-  cloud.add("fir", "kootenay", 1);
-  cloud.add("fir", "fraser", 2, true);
-  if (!start_all(deployment, 3)) return;
+  for (std::size_t n = 0; n < kMachines; ++n) deployment.cloud().add("fir", "fraser", n % 3);
+  if (!start_all(deployment, kMachines)) return;
+  const json sync{{"workload", "gis-sync"}, {"owner", "water-assets"}};
+  // Fetches the image on each machine.
+  const auto first = array("wk-000001", 4 * kMachines, 50, 1, sync);
+  deployment.submit(first, 0);
+  for (const double until = now() + 20; deployment.world().final_phase("wk-000001").empty();) {
+    if (now() > until) return Record::get().cannot_run("the first job has not ended");
+    deployment.poll("wk-000001", 0);
+    sleep_for(0.5);
+  }
+  sleep_for(3);
+  deployment.world().count_starts_after_cancellation();
+  constexpr double kHang = 5;
+  for (int round = 0; round < 3 && !Record::get().any_broken(); ++round) {
+    if (arguments.trouble) {
+      record("all machines hang");
+      for (auto* worker : deployment.cloud().workers()) worker->hang(kHang);
+    }
+    std::vector<std::string> uids;
+    for (int n = 0; n < 6; ++n) {
+      const auto job = array(uid_of(100 * (round + 1) + n), 2, 50, 30, sync);
+      deployment.submit(job, n % 3);
+      uids.push_back(job.body["uid"]);
+    }
+    sleep_for(1);
+    for (const auto& uid : uids) deployment.cancel(uid, -1);
+    sleep_for(kHang + 3);
+  }
+}
+
+// A machine hangs while the connections between controllers are refused, and the user cancels the
+// service on it.
+void silence_is_forgotten(const CaseArguments& arguments) {
+  auto settings = waterworks(arguments);
+  settings.districts = {"fraser"};
+  constexpr int kMachines = 5;
+  settings.cloud.capacity = {{"fraser", kMachines}};
+  auto& deployment = deploy(settings);
+  for (std::size_t n = 0; n < kMachines; ++n) deployment.cloud().add("fir", "fraser", n % 3);
+  if (!start_all(deployment, kMachines)) return;
   sleep_for(2.5);
-  for (int number = 1; number <= 2; ++number) {
-    const auto feed =
-        tile_server(uid_of(number), 1,
-                    {{"workload", "assetfeed"},
-                     {"owner", "water-assets"},
-                     {"ramGb", 3.1},
-                     {"district", settings.districts[static_cast<std::size_t>(number - 1)]}});
-    deployment.submit(feed, number);
+  for (int number = 1; number <= kMachines - 1; ++number) {
+    const auto feed = tile_server(
+        uid_of(number), 1, {{"workload", "assetfeed"}, {"owner", "water-assets"}, {"cpus", 12.0}});
+    deployment.submit(feed, number % 3);
     if (!wait_for_tasks(deployment, feed, 1, 10)) return;
   }
-  sleep_for(2.5);
-  const int tasks = arguments.trouble ? 10'000 : 100;
-  auto probes = array("wk-000003", tasks, 1, 0.3,
-                      {{"workload", "hydrant-probes"},
-                       {"owner", "transit-survey"},
-                       {"rank", "low"},
-                       {"cpus", 0.1},
-                       {"ramGb", 0.05}});
-  if (!deployment.submit(probes, 2)) return Record::get().cannot_run("not accepted");
-  const double until = now() + 80;
-  while (now() < until && deployment.world().final_phase("wk-000003").empty()) {
-    deployment.poll("wk-000003", 0);
-    for (const double next = now() + 2; now() < next; sleep_for(0.1))
-      for (auto* worker : cloud.workers())
-        if (worker->session() > 1 && worker->refused_as_too_large() > 0)
-          return Record::get().broken(
-              "body_limit",
-              worker->name() + " lost its lease with all its tasks: its reports, of " +
-                  std::to_string(worker->refused_as_too_large()) + " bytes, were refused");
+  const int leader = deployment.leader();
+  const auto on = deployment.world().machines_of("wk-000001/0");
+  if (leader < 0 || on.empty()) return Record::get().cannot_run("no leader or no machine");
+  if (arguments.trouble) {
+    record("machine " + *on.begin() + " hangs; connections between controllers are refused");
+    deployment.cloud().worker(*on.begin())->hang(60);
+    for (int node = 0; node < Deployment::kNodes; ++node)
+      deployment.set_links(node, Proxy::Mode::Reset);
   }
-  for (auto* worker : cloud.workers())
-    record("largest message to " + worker->name() + ": " +
-           std::to_string(worker->largest_message()) + " bytes");
+  const double begin = now();
+  sleep_for(0.5);
+  if (!deployment.cancel("wk-000001", leader)) return Record::get().cannot_run("not cancelled");
+  sleep_for(begin + 40 - now());
+  for (int node = 0; node < Deployment::kNodes; ++node)
+    deployment.set_links(node, Proxy::Mode::Pass);
+  record("connections between controllers are accepted again");
+  while (now() < begin + 60 && !Record::get().any_broken()) sleep_for(0.1);
 }
 
 bool play(const std::string& name, const CaseArguments& arguments) {
   const std::map<std::string, void (*)(const CaseArguments&)> cases{
-      {"full-zone", full_zone_blocks_services},  {"learned-token", deposed_leader_learns_token},
-      {"cordon", cordon_outlasts_quiet_time},    {"limited-team", limited_team_blocks_guests},
-      {"guests", guests_shun_ordinary_machines}, {"tiny-tasks", tiny_tasks_overfill_reports}};
+      {"full-zone", full_zone_blocks_services},   {"learned-token", deposed_leader_learns_token},
+      {"cordon", cordon_outlasts_quiet_time},     {"limited-team", limited_team_blocks_guests},
+      {"guests", guests_shun_ordinary_machines},  {"overtaken-start", stop_overtakes_start},
+      {"forgotten-silence", silence_is_forgotten}};
   const auto it = cases.find(name);
   if (it == cases.end()) return false;
   it->second(arguments);
--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -14,7 +14,8 @@
 void full_zone_blocks_services(const CaseArguments& arguments);
 void deposed_leader_learns_token(const CaseArguments& arguments);
 void cordon_outlasts_quiet_time(const CaseArguments& arguments);
-void tiny_tasks_overfill_reports(const CaseArguments& arguments);
+void stop_overtakes_start(const CaseArguments& arguments);
+void silence_is_forgotten(const CaseArguments& arguments);
 void limited_team_blocks_guests(const CaseArguments& arguments);
 void guests_shun_ordinary_machines(const CaseArguments& arguments);
 }  // namespace standins
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -40,6 +40,11 @@
   const auto& known = known_[uid_of(task)];
   if (known.final_phase == "cancelled" && now() > known.final_at + cancel_s_)
     Record::get().broken("ran_cancelled", task + " begins on " + machine);
+  if (count_starts_ && known.final_phase == "cancelled" && now() > known.final_at)
+    Record::get().broken("started_after_cancellation",
+                         task + " begins on " + machine + " " +
+                             std::to_string(now() - known.final_at) +
+                             " s after its user was told that the job is cancelled");
 }
 
 void World::off_machine(const std::string& task, const std::string& machine) {
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -25,6 +25,8 @@
 class World {
  public:
   explicit World(double cancel_s) : cancel_s_(cancel_s) {}
+  /// From now on, each start after a confirmed cancellation breaks a rule.
+  void count_starts_after_cancellation() { count_starts_ = true; }
 
   void add_job(const std::string& uid, Job job);
   std::optional<Job> job(const std::string& uid);
@@ -55,6 +57,7 @@
   };
   std::mutex mutex_;
   double cancel_s_;
+  std::atomic<bool> count_starts_{false};
   std::map<std::string, Job> jobs_;
   std::map<std::string, Known> known_;
   std::map<std::string, std::set<std::string>> machines_;  ///< by task
