Review: a hanging machine's silence is forgotten (case 5)

Case 5 shows ran_cancelled: while controllers refuse each other's connections, nobody judges the silence of a hanging machine, and a cancelled task stays on it beyond cancel_s. Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Many tiny tasks make a worker's report larger than a request may be; the machine loses its lease with all its tasks.
-exec "$(dirname "$0")/../standins-2/run-case.sh" tiny-tasks "$(dirname "$0")"
+# While controllers refuse each other's connections, a hanging machine's silence is forgotten; a cancelled task stays on it.
+exec "$(dirname "$0")/../standins-2/run-case.sh" forgotten-silence "$(dirname "$0")"
