Review: cases 4 and 6 depend less on the load of the machine

Case 4 has one machine more than tasks, so that a refused start does not spoil the set-up; the stand-in of a worker begins a task at once when it has the image, by "A task is on its machine from the moment it has its image"; case 6 plays up to six rounds. The checks are the same.

--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -194,7 +194,9 @@
   };
   submit("wk-000001", 4, 4, 300, {{"rank", "low"}, {"reclaimable", true}}, 0);
   sleep_for(3);
-  constexpr int kOthers = 7;
+  // One machine more than there are tasks: a start that is refused finds room elsewhere.
+  constexpr int kTasks = 7;
+  constexpr int kOthers = kTasks + 1;
   for (int n = 0; n < kOthers; ++n)
     cloud.add("fir", n % 2 ? "kootenay" : "burrard", n % 2 ? second : third);
   if (!deployment.wait_until_ready(2 + kOthers, 25)) return;
@@ -207,16 +209,16 @@
   const double begin = now();
   const double cut = begin + 24.4;
   std::vector<Job> failing;
-  failing.push_back(submit("wk-000011", kOthers, 3, 100, urgent, 0.3));
+  failing.push_back(submit("wk-000011", kTasks, 3, 100, urgent, 0.3));
   sleep_for(begin + 9.1 - now());
-  failing.push_back(submit("wk-000012", kOthers, 3, 100, urgent, 1.5));
+  failing.push_back(submit("wk-000012", kTasks, 3, 100, urgent, 1.5));
   sleep_for(begin + 9.3 - now());
   // Each of these has room for one task on each machine beside those before it.
-  failing.push_back(submit("wk-000013", kOthers, 0.3, 100, with_ram(32), 1.5));
+  failing.push_back(submit("wk-000013", kTasks, 0.3, 100, with_ram(32), 1.5));
   sleep_for(begin + 9.6 - now());
-  failing.push_back(submit("wk-000014", kOthers, 0.3, 100, with_ram(20), 1.5));
+  failing.push_back(submit("wk-000014", kTasks, 0.3, 100, with_ram(20), 1.5));
   sleep_for(begin + 9.9 - now());
-  failing.push_back(submit("wk-000015", kOthers, 0.3, 100, with_ram(7), 1.5));
+  failing.push_back(submit("wk-000015", kTasks, 0.3, 100, with_ram(7), 1.5));
   sleep_for(begin + 16 - now());
   submit("wk-000003", kOthers, 4, 0, production, 0);
   for (auto job : failing) {
@@ -354,7 +356,7 @@
   sleep_for(3);
   deployment.world().count_starts_after_cancellation();
   constexpr double kHang = 5;
-  for (int round = 0; round < 3 && !Record::get().any_broken(); ++round) {
+  for (int round = 0; round < 6 && !Record::get().any_broken(); ++round) {
     if (arguments.trouble) {
       record("all machines hang");
       for (auto* worker : deployment.cloud().workers()) worker->hang(kHang);
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -154,6 +154,8 @@
          (task.phase == "exited" ? task.cause : task.phase));
   tasks_.push_back(std::move(task));
   changed();
+  // With its image there, the task is on the machine at once.
+  advance_tasks();
 }
 
 void Worker::exit(Task& task, const std::string& cause, bool kept) {
