Machines: log lines of silences that are not judged, and of later epochs on machines

Change: a line when the messages of a member begin or cease to be missing, the number of silent machines that the leader does not judge, the silence and limit of a machine that is terminated, and the later epoch that the answer to a direct command shows.

--- a/src/cloud/machine_health_monitor.cpp
+++ b/src/cloud/machine_health_monitor.cpp
@@ -17,6 +17,7 @@
 constexpr auto kBootLimitOfUnknownType = 300s;
 /// Added to the silence limit of machines from which this leader has never had a heartbeat.
 constexpr auto kNoHeartbeatMargin = 5s;
+constexpr auto kLogInterval = 5s;
 }  // namespace
 
 MachineHealthMonitor::MachineHealthMonitor(net::Runtime& runtime, const wire::Settings& settings,
@@ -33,7 +34,9 @@
 
 void MachineHealthMonitor::update(net::Time leading_since) {
   partitioned_zones_ = find_partitioned_zones();
+  not_judged_ = 0;
   for (const auto& [name, status] : registry_.machine_statuses()) check_heartbeat(status);
+  log_machines_not_judged();
   inventory_.apply_registrations(runtime_.now());
   for (const auto& [name, machine] : inventory_.machines())
     check_without_heartbeat(name, machine, leading_since);
@@ -76,13 +79,31 @@
   // The tasks of a machine that is silent for a whole lease have ended or the machine is gone; its
   // confirmed termination proves it. Silence counts only while every controller that could forward
   // heartbeats is connected.
-  const auto last_contact = std::max(status.last_heartbeat, registry_.peers_connected_since());
-  if (runtime_.now() - last_contact > silence_limit(status.heartbeat.zone))
-    inventory_.mark_for_termination(machine);
+  const auto silence = runtime_.now() - status.last_heartbeat;
+  const auto limit = silence_limit(status.heartbeat.zone);
+  const auto counted = std::min(silence, runtime_.now() - registry_.peers_connected_since());
+  if (silence > limit && counted <= limit) ++not_judged_;
+  if (counted > limit && inventory_.mark_for_termination(machine))
+    spdlog::info(
+        "machine {} has been silent for {:.1f} s (limit {:.1f} s): terminating it, epoch {}",
+        machine, net::to_seconds(silence).count(), net::to_seconds(limit).count(),
+        membership_.epoch().number);
   record_exits(status);
   cordon_if_faulty(machine);
 }
 
+void MachineHealthMonitor::log_machines_not_judged() {
+  const auto now = runtime_.now();
+  if (not_judged_ == 0 || now - last_logged_ <= kLogInterval) return;
+  last_logged_ = now;
+  spdlog::info(
+      "{} machines are silent beyond their limit but not judged: messages of all controllers "
+      "arrive "
+      "for {:.1f} s only, epoch {}",
+      not_judged_, net::to_seconds(now - registry_.peers_connected_since()).count(),
+      membership_.epoch().number);
+}
+
 void MachineHealthMonitor::record_exits(const machines::MachineStatus& status) {
   const auto& machine = status.heartbeat.machine;
   for (const auto& task : status.heartbeat.tasks) {
--- a/src/cloud/machine_health_monitor.hpp
+++ b/src/cloud/machine_health_monitor.hpp
@@ -22,6 +22,7 @@
   net::Duration silence_limit(const std::string& zone) const;
   std::set<std::string> find_partitioned_zones() const;
   void check_heartbeat(const machines::MachineStatus& status);
+  void log_machines_not_judged();
   void record_exits(const machines::MachineStatus& status);
   void cordon_if_faulty(const std::string& machine);
   /// Checks a machine from which this leader has had no heartbeat: it is silent or failed to boot.
@@ -36,5 +37,7 @@
   MachineInventory& inventory_;
   FaultyMachineDetector faulty_machines_;
   std::set<std::string> partitioned_zones_;  ///< as of the current update
+  std::size_t not_judged_ = 0;  ///< machines whose silence exceeds its limit but does not count yet
+  net::Time last_logged_{};     ///< when their number was last logged
 };
 }  // namespace limemast::cloud
--- a/src/machines/heartbeat_handler.cpp
+++ b/src/machines/heartbeat_handler.cpp
@@ -89,6 +89,10 @@
   if (!heartbeat || heartbeat->machine != machine || context_.registry.removed(machine) ||
       !parts_.attached.is_attached(status))
     return;
+  if (heartbeat->fencing_token.epoch() > context_.membership.epoch().number)
+    spdlog::info("machine {} has fencing token {} of the later epoch {}, epoch {}", machine,
+                 heartbeat->fencing_token, heartbeat->fencing_token.epoch(),
+                 context_.membership.epoch().number);
   if (!status->heartbeat.same_content_as(*heartbeat)) parts_.forwarder.forward(*heartbeat, false);
   accept(*heartbeat, context_.membership.self(), false);
 }
--- a/src/machines/peer_loads.cpp
+++ b/src/machines/peer_loads.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <spdlog/spdlog.h>
+
 namespace limemast::machines {
 namespace {
 using namespace std::chrono_literals;
@@ -32,8 +34,21 @@
     if (controller == membership.self()) continue;
     // A member without a report has just joined, so there is no earlier report to miss.
     const auto& newest = reports_.try_emplace(controller, Report{now, false, 0}).first->second;
-    if (now - newest.received_at > kMaxReportGap) context_.registry.set_peers_connected_since(now);
+    const bool missing = now - newest.received_at > kMaxReportGap;
+    if (missing) context_.registry.set_peers_connected_since(now);
+    log_gap(controller, missing);
   }
+  std::erase_if(missing_,
+                [&](const auto& controller) { return !membership.is_member(controller); });
+}
+
+void PeerLoads::log_gap(const cluster::ControllerId& controller, bool missing) {
+  const auto epoch = context_.membership.epoch().number;
+  if (missing && missing_.insert(controller).second)
+    spdlog::info("no messages from {}: the silence of machines is not judged, epoch {}", controller,
+                 epoch);
+  else if (!missing && missing_.erase(controller) > 0)
+    spdlog::info("messages from {} arrive again, epoch {}", controller, epoch);
 }
 
 void PeerLoads::plan_redirects(std::size_t attached_machines, double own_load) {
--- a/src/machines/peer_loads.hpp
+++ b/src/machines/peer_loads.hpp
@@ -3,6 +3,7 @@
 // by them how many machines to redirect.
 #include <map>
 #include <optional>
+#include <set>
 
 #include "machines/gateway_context.hpp"
 #include "messages/machines.hpp"
@@ -42,9 +43,12 @@
     double load = 0;
   };
   bool is_recent(const Report& report) const;
+  /// Logs when the reports of a member begin or cease to be missing.
+  void log_gap(const cluster::ControllerId& controller, bool missing);
 
   GatewayContext context_;
   std::map<cluster::ControllerId, Report> reports_;  ///< newest report of each other controller
+  std::set<cluster::ControllerId> missing_;          ///< members whose reports are missing
   overload::LoadRebalancer load_rebalancer_;
   net::Duration last_busy_{};
   net::Time last_measured_at_{};
