Fencing tokens: a controller sends only tokens of epochs that it has read

Cause: the token of a command was the highest of the controller's own epoch, its floor for the machine and what the machine had shown. The answer 409 to a command of a deposed leader shows the token of its successor, and the deposed leader sent its next commands with it.

Change: machines::token_in_epoch is the only place that chooses a token, and yields none if the machine or another controller has shown one of a later epoch. Each sender has to handle that: direct commands are not sent, heartbeats that wait for a response are refused, machines are not adopted. What was shown is kept, since it is true.

The rule checker of the simulator compares each token that leaves a controller with the epoch that this controller has read.

--- a/src/cloud/machine_terminator.cpp
+++ b/src/cloud/machine_terminator.cpp
@@ -1,15 +1,12 @@
 #include "cloud/machine_terminator.hpp"
 
-#include <algorithm>
-#include <iterator>
-
 #include <spdlog/spdlog.h>
 
 #include "cloud/cloud_codec.hpp"
 
 namespace limemast::cloud {
 namespace {
-constexpr std::ptrdiff_t kMaxMachinesPerRequest = 100;
+constexpr std::size_t kMaxMachinesPerRequest = 100;
 constexpr int kOk = 200;
 }  // namespace
 
@@ -23,10 +20,9 @@
       inventory_(inventory) {}
 
 void MachineTerminator::run() {
-  const auto& marked = inventory_.marked_for_termination();
-  if (in_flight_ || marked.empty() || !cloud_.try_acquire_call()) return;
-  const auto count = std::min(std::ssize(marked), kMaxMachinesPerRequest);
-  const std::vector<std::string> machines(marked.begin(), std::next(marked.begin(), count));
+  if (in_flight_) return;
+  const auto machines = next_batch();
+  if (machines.empty() || !cloud_.try_acquire_call()) return;
   in_flight_ = true;
   for (const auto& machine : machines) registry_.cordon(machine);
   cloud_.send(terminate_request(machines), [this, machines](const net::HttpResult& response) {
@@ -35,6 +31,19 @@
   });
 }
 
+std::vector<std::string> MachineTerminator::next_batch() const {
+  // The cloud does not know fencing tokens. A leader that the store does not serve may have been
+  // replaced, and tasks of its successor may run on the machine. The termination can wait, since
+  // the machine is deregistered through the store, except where a cancelled task must end in time.
+  const bool may_be_deposed = !membership_.store_available();
+  std::vector<std::string> out;
+  for (const auto& machine : inventory_.marked_for_termination()) {
+    if (out.size() >= kMaxMachinesPerRequest) break;
+    if (!may_be_deposed || registry_.overdue_machines().contains(machine)) out.push_back(machine);
+  }
+  return out;
+}
+
 void MachineTerminator::on_confirmed(const std::vector<std::string>& machines) {
   std::vector<std::string> registered;
   for (const auto& machine : machines) {
--- a/src/cloud/machine_terminator.hpp
+++ b/src/cloud/machine_terminator.hpp
@@ -20,6 +20,8 @@
   void run();
 
  private:
+  /// The marked machines that the next request names.
+  std::vector<std::string> next_batch() const;
   void on_confirmed(const std::vector<std::string>& machines);
 
   net::Runtime& runtime_;
--- a/src/machines/attached_machines.cpp
+++ b/src/machines/attached_machines.cpp
@@ -6,6 +6,12 @@
 #include "messages/machines.hpp"
 
 namespace limemast::machines {
+std::optional<ids::FencingToken> token_in_epoch(ids::EpochNumber epoch, ids::FencingToken shown,
+                                                ids::FencingToken floor) {
+  const auto token = std::max({ids::FencingToken::base(epoch), shown, floor});
+  return token.epoch() > epoch ? std::nullopt : std::optional(token);
+}
+
 AttachedMachines::AttachedMachines(const GatewayContext& context, CommandMonitor& monitor)
     : context_(context), monitor_(monitor) {
   context_.message_bus.on<messages::RaiseFencingToken>(
@@ -37,14 +43,15 @@
   return is_attached(context_.registry.find(machine));
 }
 
-ids::FencingToken AttachedMachines::command_token(const AttachedMachine& machine,
-                                                  const MachineStatus& status) const {
-  return std::max({ids::FencingToken::base(context_.membership.epoch().number),
-                   machine.token_floor.command_floor(), status.heartbeat.fencing_token});
+std::optional<ids::FencingToken> AttachedMachines::command_token(
+    const AttachedMachine& machine, const MachineStatus& status) const {
+  return token_in_epoch(context_.membership.epoch().number, status.heartbeat.fencing_token,
+                        machine.token_floor.command_floor());
 }
 
-ids::FencingToken AttachedMachines::token_for_pending_commands(AttachedMachine& machine,
-                                                               const MachineStatus& status) {
+std::optional<ids::FencingToken> AttachedMachines::token_for_pending_commands(
+    AttachedMachine& machine, const MachineStatus& status) {
+  if (!command_token(machine, status)) return std::nullopt;
   const auto above_shown = status.heartbeat.fencing_token.next();
   if (machine.commands.has_pending_forget_of_direct_start() &&
       machine.token_floor.raise(above_shown))
--- a/src/machines/attached_machines.hpp
+++ b/src/machines/attached_machines.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // The machines that are attached to this controller: each has sent its newest heartbeat here, or
 // commands of this controller to it are still in flight.
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -11,6 +12,14 @@
 namespace limemast::machines {
 class CommandMonitor;
 
+/// The token of commands that a controller sends in `epoch` to a machine which has shown the token
+/// `shown` and whose commands must carry at least `floor`. nullopt if either belongs to a later
+/// epoch: such a token is that of other controllers, and a controller that takes it up, instead of
+/// the token of its own epoch, cannot be fenced (docs/design.md, "A token is known only from the
+/// store").
+std::optional<ids::FencingToken> token_in_epoch(ids::EpochNumber epoch, ids::FencingToken shown,
+                                                ids::FencingToken floor);
+
 /// The lowest fencing tokens that are valid for one machine. A worker rejects commands with a lower
 /// token than the highest that it has seen, so raising the token invalidates commands in flight.
 class FencingTokenFloor {
@@ -98,15 +107,18 @@
   bool is_attached(const std::string& machine) const;
   bool is_attached(const MachineStatus* status) const;
 
-  /// The token of commands that are sent to the machine now.
-  ids::FencingToken command_token(const AttachedMachine& machine,
-                                  const MachineStatus& status) const;
-  /// The token of a message that carries the machine's pending commands. With a forget of an
+  /// The token of commands that are sent to the machine now; nullopt if this controller may send it
+  /// none, because the machine has shown a token of an epoch that this controller has not read, or
+  /// another controller has demanded one.
+  std::optional<ids::FencingToken> command_token(const AttachedMachine& machine,
+                                                 const MachineStatus& status) const;
+  /// The token of a message that carries the machine's pending commands; nullopt as for
+  /// `command_token`. With a forget of an
   /// attempt that may have been started directly it is above every token that the machine has
   /// shown, and so above that of the start, of which a copy is then rejected (docs/design.md, "A
   /// task runs once").
-  ids::FencingToken token_for_pending_commands(AttachedMachine& machine,
-                                               const MachineStatus& status);
+  std::optional<ids::FencingToken> token_for_pending_commands(AttachedMachine& machine,
+                                                              const MachineStatus& status);
   /// Sends the machine's token floor to the other controllers: the one that the machine attaches to
   /// next must not send commands below it.
   void broadcast_token_floor(const std::string& machine);
--- a/src/machines/direct_command_sender.cpp
+++ b/src/machines/direct_command_sender.cpp
@@ -87,17 +87,18 @@
   const bool has_recent_heartbeat =
       context_.runtime.now() - status->last_heartbeat <= max_silence + kMaxSilenceMargin;
   const auto token = attached_.token_for_pending_commands(entry, *status);
+  if (!token) return;
   // No later token of the epoch could outdate a start that is sent with the last one.
-  const bool with_starts = has_recent_heartbeat && !token.is_last_of_epoch();
+  const bool with_starts = has_recent_heartbeat && !token->is_last_of_epoch();
   const auto commands =
-      entry.commands.take_for_request(status->heartbeat.incarnation, token, with_starts);
+      entry.commands.take_for_request(status->heartbeat.incarnation, *token, with_starts);
   const auto epoch_token = ids::FencingToken::base(context_.membership.epoch().number);
   const bool announce = has_recent_heartbeat &&
                         std::exchange(entry.direct.token_requested, false) &&
                         status->heartbeat.fencing_token < epoch_token;
   if (commands.empty() && !announce) return;
   entry.direct.in_flight = true;
-  const SentCommands sent{machine, DeliveryRoute::Direct, token, status->heartbeat.incarnation,
+  const SentCommands sent{machine, DeliveryRoute::Direct, *token, status->heartbeat.incarnation,
                           commands};
   monitor_.on_sent(sent, entry.commands.starts());
   post(sent, status->heartbeat.address);
@@ -164,10 +165,12 @@
   const auto* entry = attached_.find(machine);
   if (!status || !entry || !context_.membership.may_act() || in_flight_ >= kMaxInFlight)
     return;  // `CommandDispatcher::clean_up_ended_jobs` stops the task when a heartbeat lists it
+  const auto token = attached_.command_token(*entry, *status);
+  if (!token) return;  // the controllers of the later epoch stop it likewise
   ++in_flight_;
   const SentCommands sent{machine,
                           DeliveryRoute::Direct,
-                          attached_.command_token(*entry, *status),
+                          *token,
                           status->heartbeat.incarnation,
                           {command_for(wire::CommandKind::Stop, start)}};
   monitor_.on_sent(sent, {});
--- a/src/machines/heartbeat_handler.cpp
+++ b/src/machines/heartbeat_handler.cpp
@@ -66,7 +66,8 @@
   if (!parts_.attached.is_attached(&status))
     return respond(refusal_response(R"({"error":"late report"})"));
   const auto token = parts_.attached.command_token(parts_.attached.get_or_add(machine), status);
-  respond(heartbeat_response(kAccepted, wire::commands_body(token, {}).dump(), &status));
+  if (!token) return respond(refusal_response(R"({"error":"not entitled"})"));
+  respond(heartbeat_response(kAccepted, wire::commands_body(*token, {}).dump(), &status));
 }
 
 void HeartbeatHandler::attach(AttachedMachine& entry, const wire::Heartbeat& heartbeat) const {
--- a/src/machines/heartbeat_responder.cpp
+++ b/src/machines/heartbeat_responder.cpp
@@ -69,8 +69,10 @@
   const auto* status = context_.registry.find(machine);
   if (!context_.membership.may_act() || !attached_.is_attached(status))
     return respond(refusal_response());
-  std::vector<wire::Command> commands;
   auto token = attached_.command_token(entry, *status);
+  // The worker would drop a response with a lower token, and its lease would expire.
+  if (!token) return respond(refusal_response());
+  std::vector<wire::Command> commands;
   // A direct request in flight may carry earlier commands, and later ones must not overtake them.
   if (context_.registry.registered(machine) && !entry.direct.in_flight) {
     token = attached_.token_for_pending_commands(entry, *status);
@@ -79,9 +81,9 @@
   }
   if (!commands.empty())
     monitor_.on_sent(
-        {machine, DeliveryRoute::Response, token, status->heartbeat.incarnation, commands},
+        {machine, DeliveryRoute::Response, *token, status->heartbeat.incarnation, commands},
         entry.commands.starts());
-  respond(heartbeat_response(kAccepted, wire::commands_body(token, commands).dump(), status));
+  respond(heartbeat_response(kAccepted, wire::commands_body(*token, commands).dump(), status));
   // Without a request, the worker shows a higher token only in its next heartbeat, half a lease
   // later. The request proves one heartbeat interval sooner which tasks the machine has.
   if (std::exchange(entry.response.request_token, false) &&
--- a/src/machines/orphaned_machine_adoption.cpp
+++ b/src/machines/orphaned_machine_adoption.cpp
@@ -96,7 +96,9 @@
   if (status) {
     auto& entry = attached_.get_or_add(request.machine);
     entry.token_floor.supersede(std::max(status->heartbeat.fencing_token.next(), token));
-    token = attached_.command_token(entry, *status);
+    const auto raised = attached_.command_token(entry, *status);
+    if (!raised) return;  // a controller of a later epoch commands the machine
+    token = *raised;
     monitor_.on_token_raised(request.machine, token, TokenRaiseReason::Adopted);
   }
   ++in_flight_;
--- a/tests/simulation/invariant_checker.cpp
+++ b/tests/simulation/invariant_checker.cpp
@@ -1,5 +1,7 @@
 #include "simulation/invariant_checker.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 namespace limemast::simulation {
 namespace {
 // Commands sent before a cancellation was confirmed may still arrive within this time.
@@ -80,6 +82,13 @@
   check_time();
 }
 
+void InvariantChecker::token_sent(const std::string& controller, ids::FencingToken token,
+                                  ids::EpochNumber epoch) {
+  if (token.epoch() > epoch)
+    violated("token_of_unread_epoch", fmt::format("{} in epoch {} sent token {} of epoch {}",
+                                                  controller, epoch, token, token.epoch()));
+}
+
 void InvariantChecker::ordered(const std::string& uid) {
   const auto it = jobs_.find(uid);
   if (it != jobs_.end() && it->second.known.final == "cancelled" &&
--- a/tests/simulation/invariant_checker.hpp
+++ b/tests/simulation/invariant_checker.hpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <set>
 
+#include "ids/fencing.hpp"
 #include "simulation/simulated_world.hpp"
 #include "wire/settings.hpp"
 
@@ -53,6 +54,9 @@
 
   const std::map<std::string, std::string>& violations() const { return violations_; }
   std::size_t starts() const { return starts_; }
+  /// Checks a fencing token that a controller sends to a machine: it may only be one of an epoch
+  /// that the controller has read. `epoch`: the epoch that the controller knows.
+  void token_sent(const std::string& controller, ids::FencingToken token, ids::EpochNumber epoch);
   /// Records that a machine got a Start command for a task of this job.
   void ordered(const std::string& uid);
   /// The number of Start commands that arrived more than kInTransitGrace after the job's
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -202,11 +202,25 @@
 
 void SimulatedCluster::observe(std::size_t node, const std::string& to,
                                const net::HttpRequest* request, const net::HttpResponse* response,
-                               const json* message) const {
+                               const json* message) {
+  check_token(node, to, request, response);
   if (options_.observer)
     options_.observer({nodes_[node].settings.label, to, request, response, message});
 }
 
+void SimulatedCluster::check_token(std::size_t node, const std::string& to,
+                                   const net::HttpRequest* request,
+                                   const net::HttpResponse* response) {
+  const bool heartbeat_accepted = response && to == kWorker && response->status == 200;
+  const bool direct_command = request && !response && request->path == "/orders";
+  const auto& controller = nodes_[node].controller;
+  if (!controller || (!heartbeat_accepted && !direct_command)) return;
+  const auto body = json::parse(direct_command ? request->body : response->body);
+  invariants_.token_sent(nodes_[node].settings.label,
+                         ids::FencingToken(body.at("mandate").get<std::uint64_t>()),
+                         controller->node().membership().epoch().number);
+}
+
 void SimulatedCluster::to_controller(std::size_t node, Side side, const net::HttpRequest& request,
                                      Duration timeout, std::function<void(net::HttpResult)> done,
                                      const std::string& zone) {
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -280,7 +280,10 @@
   };
 
   void observe(std::size_t node, const std::string& to, const net::HttpRequest* request,
-               const net::HttpResponse* response, const json* message) const;
+               const net::HttpResponse* response, const json* message);
+  /// Checks the fencing token of a command that leaves a controller.
+  void check_token(std::size_t node, const std::string& to, const net::HttpRequest* request,
+                   const net::HttpResponse* response);
   void start(std::size_t node);
   /// Runs a callback of the controller at once, queues it while the processor is busy, or holds it
   /// while the process is frozen.
